--- /dev/null
+++ b/cyclamenshift/__init__.py
@@ -0,0 +1,32 @@
+"""
+cyclamenshift
+=============
+
+A fleet capacity and maintenance manager for pools of VMs.
+
+What a reader of the package may use is named here; the rest may change.
+"""
+
+from .clock import Clock
+from .component import Component
+from .errors import CyclamenshiftError
+from .kernel import Kernel, build
+from .model import Done, NotRun, Outcome, Reason, Request, Unknown
+from .plugin import Plugin, find, register
+
+__all__ = (
+    'Clock',
+    'Component',
+    'CyclamenshiftError',
+    'Done',
+    'Kernel',
+    'NotRun',
+    'Outcome',
+    'Plugin',
+    'Reason',
+    'Request',
+    'Unknown',
+    'build',
+    'find',
+    'register',
+)
--- /dev/null
+++ b/cyclamenshift/commands/__init__.py
@@ -0,0 +1,6 @@
+"""
+cyclamenshift.commands
+======================
+
+The operators' commands, found by name.
+"""
--- /dev/null
+++ b/cyclamenshift/component.py
@@ -0,0 +1,50 @@
+"""
+cyclamenshift.component
+=======================
+
+The base of everything that the kernel starts and stops.
+"""
+
+from typing import TYPE_CHECKING, Any, ClassVar, TypeAlias
+
+import trio
+
+from . import plugin
+from .logs import get_logger
+
+if TYPE_CHECKING:
+    from .kernel import Kernel
+
+#: The JSON value that a component gives for a state dump.
+Dump: TypeAlias = dict[str, Any]
+
+
+class Component(plugin.Plugin):
+    """
+    A plug-in with a life: started by stage, drained in reverse.
+
+    ``stage`` orders the start; a component may use those of lower stages.
+    """
+
+    stage: ClassVar[int]
+
+    def __init__(self, kernel: 'Kernel') -> None:
+        """Keep the kernel; start nothing yet."""
+        self.kernel = kernel
+        self.clock = kernel.clock
+        self.log = get_logger(self.name)
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Start, report so through *task_status*, and run till cancelled."""
+        task_status.started()
+        await trio.sleep_forever()
+
+    async def drain(self) -> None:
+        """Accept nothing new; return when nothing is in flight."""
+
+    def dump(self) -> Dump:
+        """Return the present state as a JSON value."""
+        return {}
--- /dev/null
+++ b/cyclamenshift/controls/__init__.py
@@ -0,0 +1,6 @@
+"""
+cyclamenshift.controls
+======================
+
+The components that follow and change the state of the fleet.
+"""
--- /dev/null
+++ b/cyclamenshift/controls/claims.py
@@ -0,0 +1,281 @@
+"""
+cyclamenshift.controls.claims
+=============================
+
+Lets work that may not be repeated run at most once for each key.
+
+The claim row is in the table before the request is dispatched, and only
+the attempt that holds it dispatches.  A claim is never taken over by time.
+"""
+
+import uuid
+from collections.abc import Awaitable, Callable
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, ClassVar, TypeAlias, cast
+
+import trio
+
+from ..component import Dump
+from ..control import Control
+from ..decisions import claims
+from ..model import NotRun, Outcome, Reason, Request, Unknown
+from ..platform import ABSENT, Platform, Unavailable
+from ..plugin import register
+from ..rows import ClaimRow, claim_key, typed
+from .ledger import Ledger, NotWritten, Rival, Written
+
+if TYPE_CHECKING:
+    from ..kernel import Kernel
+
+#: Runs a claimed request to its outcome.
+Runner: TypeAlias = Callable[[Request], Awaitable[Outcome]]
+
+#: How often a held claim is looked at, ms.
+HELD_POLL_MS = 100
+#: When a caller may try again while the store is down, ms.
+STORE_RETRY_AFTER_MS = 5_000
+#: How long an answer waits for its record, ms.
+RECORD_WAIT_MS = 1_000
+
+STORE_DOWN = NotRun(
+    Reason.store_down,
+    'Try again with the same key; the platform can not record it now.',
+    STORE_RETRY_AFTER_MS,
+)
+TOO_LATE = NotRun(
+    Reason.deadline,
+    'Allow more time, or try again with the same key.',
+)
+
+
+class Flight:
+    """One attempt at a claimed request, shared by callers of this process."""
+
+    def __init__(self, request: Request, attempt: str) -> None:
+        """Start undecided and not dispatched."""
+        self.request = request
+        self.attempt = attempt
+        self.digest = claims.digest_of(request)
+        self.dispatched = False
+        self.abandoned = False
+        self.outcome: Outcome | None = None
+        self.ended = trio.Event()
+
+    def end(self, outcome: Outcome) -> None:
+        """Give *outcome* to every caller that waits."""
+        self.outcome = outcome
+        self.ended.set()
+
+
+@register
+class Claims(Control):
+    """Carries each claimed request in a task that outlives its caller."""
+
+    name = 'claims'
+    stage: ClassVar[int] = 3
+
+    def __init__(self, kernel: 'Kernel') -> None:
+        """Start with no flight."""
+        super().__init__(kernel)
+        self.platform = kernel.get(Platform)
+        self.ledger = kernel.get(Ledger)
+        self.flights: dict[str, Flight] = {}
+        self.nursery: trio.Nursery | None = None
+        self.carried = 0
+        self._idle = trio.Event()
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Hold the nursery of the flights."""
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def drain(self) -> None:
+        """Return when each flight has ended and its record is written."""
+        while self.carried:
+            self._idle = trio.Event()
+            await self._idle.wait()
+
+    def dump(self) -> Dump:
+        """Return the keys in flight."""
+        return {'flights': sorted(self.flights), 'carried': self.carried}
+
+    async def settle(self, request: Request, runner: Runner) -> Outcome:
+        """Return the one outcome of *request*, running it at most once."""
+        flight = self.flights.get(request.key)
+        if flight is None:
+            flight = self._launch(request, runner)
+        elif flight.digest != claims.digest_of(request):
+            return NotRun(
+                Reason.key_reused,
+                'Use a new idempotency key; this one names other work.',
+            )
+        with self.clock.move_on_after(self.clock.remaining(request.deadline)):
+            await flight.ended.wait()
+        return self._outcome_of(flight)
+
+    async def look_up(self, key: str) -> ClaimRow | Unavailable | None:
+        """Return the claim row of *key*, None if there is none."""
+        rows = await self.platform.read([claim_key(key)])
+        if isinstance(rows, Unavailable):
+            return rows
+        return typed(rows[0], ClaimRow) if rows[0].version else None
+
+    def _launch(self, request: Request, runner: Runner) -> Flight:
+        flight = Flight(request, uuid.uuid4().hex)
+        self.flights[request.key] = flight
+        self.carried += 1
+        cast(trio.Nursery, self.nursery).start_soon(
+            self._carry,
+            flight,
+            runner,
+        )
+        return flight
+
+    def _outcome_of(self, flight: Flight) -> Outcome:
+        if flight.outcome is not None:
+            return flight.outcome
+        if flight.dispatched:
+            return Unknown(Reason.in_progress, claims.ASK_AGAIN)
+        flight.abandoned = True
+        return TOO_LATE
+
+    async def _carry(self, flight: Flight, runner: Runner) -> None:
+        try:
+            await self._claim(flight, runner, ABSENT)
+        finally:
+            if not flight.ended.is_set():
+                flight.end(Unknown(Reason.answer_lost, claims.ASK_AGAIN))
+            self.flights.pop(flight.request.key)
+            self.carried -= 1
+            if not self.carried:
+                self._idle.set()
+
+    async def _claim(
+        self,
+        flight: Flight,
+        runner: Runner,
+        version: int,
+    ) -> None:
+        retention = self.kernel.settings['platform']['claim_retention']
+        row = claims.new_claim(
+            flight.request,
+            flight.attempt,
+            self.clock.wall() + retention,
+        )
+        key = claim_key(flight.request.key)
+        result = await self.ledger.write(key, version, row)
+        if isinstance(result, Written):
+            await self._run(flight, runner, row, result.version)
+        elif isinstance(result, NotWritten):
+            flight.end(STORE_DOWN)
+        else:
+            await self._meet(flight, runner, result)
+
+    async def _meet(self, flight: Flight, runner: Runner, rival: Rival) -> None:
+        version = rival.row.version
+        if version == ABSENT:
+            await self._claim(flight, runner, ABSENT)
+            return
+        row = typed(rival.row, ClaimRow)
+        standing = claims.standing(row, flight.digest, flight.attempt)
+        await self._stand(standing, flight, runner, rival)
+
+    @singledispatchmethod
+    async def _stand(
+        self,
+        standing: claims.Standing,
+        flight: Flight,
+        runner: Runner,
+        rival: Rival,
+    ) -> None:
+        raise NotImplementedError(type(standing).__qualname__)
+
+    @_stand.register
+    async def _stand_settled(
+        self,
+        standing: claims.Settled,
+        flight: Flight,
+        runner: Runner,
+        rival: Rival,
+    ) -> None:
+        flight.end(standing.outcome)
+
+    @_stand.register
+    async def _stand_free(
+        self,
+        standing: claims.Free,
+        flight: Flight,
+        runner: Runner,
+        rival: Rival,
+    ) -> None:
+        await self._claim(flight, runner, rival.row.version)
+
+    @_stand.register
+    async def _stand_mine(
+        self,
+        standing: claims.Mine,
+        flight: Flight,
+        runner: Runner,
+        rival: Rival,
+    ) -> None:
+        row = typed(rival.row, ClaimRow)
+        await self._run(flight, runner, row, rival.row.version)
+
+    @_stand.register
+    async def _stand_held(
+        self,
+        standing: claims.Held,
+        flight: Flight,
+        runner: Runner,
+        rival: Rival,
+    ) -> None:
+        flight.dispatched = True
+        while self.clock.remaining(flight.request.deadline):
+            await self.clock.sleep(HELD_POLL_MS)
+            row = await self.look_up(flight.request.key)
+            if row is None or isinstance(row, Unavailable):
+                continue
+            if row['state'] != 'claimed':
+                flight.end(claims.recorded(row))
+                return
+        flight.end(Unknown(Reason.in_progress, claims.ASK_AGAIN))
+
+    async def _run(
+        self,
+        flight: Flight,
+        runner: Runner,
+        row: ClaimRow,
+        version: int,
+    ) -> None:
+        late = not self.clock.remaining(flight.request.deadline)
+        if flight.abandoned or late:
+            outcome: Outcome = TOO_LATE
+        else:
+            flight.dispatched = True
+            outcome = await runner(flight.request)
+        with self.clock.move_on_after(RECORD_WAIT_MS) as scope:
+            await self._record(flight, outcome, row, version)
+        flight.end(outcome)
+        if scope.cancelled_caught:
+            await self._record(flight, outcome, row, version)
+
+    async def _record(
+        self,
+        flight: Flight,
+        outcome: Outcome,
+        row: ClaimRow,
+        version: int,
+    ) -> None:
+        key = claim_key(flight.request.key)
+        wanted = claims.record(outcome, row)
+        result = await self.ledger.write(key, version, wanted)
+        while isinstance(result, NotWritten):
+            await self.clock.sleep(HELD_POLL_MS)
+            result = await self.ledger.write(key, version, wanted)
+        if isinstance(result, Rival):
+            self.log.error('The claim %s has moved.', flight.request.key)
--- /dev/null
+++ b/cyclamenshift/controls/configuration.py
@@ -0,0 +1,319 @@
+"""
+cyclamenshift.controls.configuration
+====================================
+
+Follows the configuration and the VMs' states, and accepts changes.
+"""
+
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING, ClassVar, NamedTuple, cast
+
+import msgspec
+import trio
+import xxhash
+
+from .. import fleet as fleets
+from ..component import Dump
+from ..control import Control
+from ..decisions.acceptance import Accepted, FleetRows, accept
+from ..decisions.budget import Refused
+from ..errors import SettingsError
+from ..model import Vm, VmState
+from ..platform import (
+    ABSENT,
+    Check,
+    Committed,
+    Platform,
+    Row,
+    Transaction,
+    Unavailable,
+    Uncertain,
+    Write,
+)
+from ..plugin import register
+from ..rows import (
+    BUDGET_PREFIX,
+    CHANGES_KEY,
+    HEAD_KEY,
+    VM_PREFIX,
+    BudgetRow,
+    ChangesRow,
+    HeadRow,
+    VmRow,
+    budget_key,
+    typed,
+    vm_key,
+)
+
+if TYPE_CHECKING:
+    from ..kernel import Kernel
+
+#: The prefix of the names of stored configurations.
+OBJECT_PREFIX = 'config-'
+#: How far a poll may come early, as a share of its interval.
+JITTER = 0.2
+#: How often a lost answer is settled by asking again.
+SETTLE_LIMIT = 10
+#: The wait between two such tries, ms.
+SETTLE_DELAY_MS = 200
+
+STORE_DOWN = Refused(
+    'The platform can not be reached.',
+    'Try again when it is back; nothing was changed.',
+)
+UNSETTLED = Refused(
+    'The answer of the platform was lost, and it can not be asked now.',
+    'Look at "cyclamenshift config status" before you apply again.',
+)
+
+
+class Proposal(NamedTuple):
+    """A change that an operator asks for, against number ``base``."""
+
+    texts: dict[str, str]
+    base: int
+    change_id: str
+    operator: str
+
+
+class InForce(NamedTuple):
+    """A change that was accepted, now in force under ``number``."""
+
+    number: int
+    digest: str
+
+
+class _Read(NamedTuple):
+    rows: FleetRows
+    head: Row
+    changes: Row
+
+
+@register
+class Configuration(Control):
+    """Polls one pair of rows, and reads more only when one has moved."""
+
+    name = 'configuration'
+    stage: ClassVar[int] = 2
+
+    def __init__(self, kernel: 'Kernel') -> None:
+        """Start without a configuration."""
+        super().__init__(kernel)
+        self.platform = kernel.get(Platform)
+        self.in_force: fleets.CheckedFleet | None = None
+        self.head: HeadRow | None = None
+        self.head_version = ABSENT
+        self.changes_version = ABSENT
+        self.vm_rows: dict[str, VmRow] = {}
+        self.vms: dict[str, Vm] = {}
+        self.refreshed_at = self.clock.now()
+        self.store_up = False
+        self.listeners: list[Callable[[], None]] = []
+        self._hint = trio.Event()
+        self._rng = random.Random(kernel.settings['entry']['id'])
+
+    @property
+    def number(self) -> int:
+        """The number of the configuration in force, 0 for none."""
+        return self.head['number'] if self.head else 0
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Refresh now, and again with each poll or hint."""
+        await self.refresh()
+        task_status.started()
+        poll = self.kernel.settings['platform']['poll']
+        while True:
+            delay = round(poll * (1 - JITTER * self._rng.random()))
+            with self.clock.move_on_after(delay):
+                await self._hint.wait()
+            self._hint = trio.Event()
+            await self.refresh()
+
+    def hint(self, number: int, changes: int) -> None:
+        """Refresh soon if a peer knows of something newer."""
+        if number > self.number or changes > self.changes_version:
+            self._hint.set()
+
+    async def refresh(self) -> None:
+        """Bring this process up to the rows in the table."""
+        rows = await self.platform.read([HEAD_KEY, CHANGES_KEY])
+        self.store_up = not isinstance(rows, Unavailable)
+        if isinstance(rows, Unavailable):
+            return
+        head, changes = rows
+        moved = changes.version > self.changes_version
+        if head.version > self.head_version:
+            moved = await self._adopt(head) or moved
+        if moved and not await self._read_vms(changes.version):
+            return
+        self.refreshed_at = self.clock.now()
+
+    async def apply(self, proposal: Proposal) -> InForce | Refused:
+        """
+        Put *proposal* in force, if it may be.
+
+        Raises SettingsError when its files are wrong.
+        """
+        checked = fleets.check(proposal.texts)
+        body = msgspec.json.encode(proposal.texts)
+        digest = xxhash.xxh128_hexdigest(body)
+        if not await self.platform.put_object(OBJECT_PREFIX + digest, body):
+            return STORE_DOWN
+        read = await self._read_rows()
+        if isinstance(read, Unavailable):
+            return STORE_DOWN
+        accepted = accept(read.rows, checked.fleet, proposal.base)
+        if isinstance(accepted, Refused):
+            return accepted
+        head = HeadRow(
+            number=proposal.base + 1,
+            digest=digest,
+            change_id=proposal.change_id,
+            operator=proposal.operator,
+        )
+        result = await self._commit(read, accepted, head)
+        await self.refresh()
+        return result
+
+    def dump(self) -> Dump:
+        """Return what is in force and how old the view is."""
+        return {
+            'head': self.head,
+            'head_version': self.head_version,
+            'changes_version': self.changes_version,
+            'view_age_ms': self.clock.now() - self.refreshed_at,
+            'store_up': self.store_up,
+            'vms': self.vm_rows,
+        }
+
+    async def _adopt(self, head: Row) -> bool:
+        row = typed(head, HeadRow)
+        body = await self.platform.get_object(OBJECT_PREFIX + row['digest'])
+        if isinstance(body, Unavailable):
+            self.log.warning('Configuration %s is not there.', row['number'])
+            return False
+        try:
+            texts = msgspec.json.decode(body, type=dict[str, str])
+            self.in_force = fleets.check(texts)
+        except (SettingsError, msgspec.MsgspecError) as error:
+            self.log.error('Configuration %s: %s', row['number'], error)
+            return False
+        self.head = row
+        self.head_version = head.version
+        self.log.info('Configuration %s is in force.', row['number'])
+        return True
+
+    async def _read_vms(self, changes_version: int) -> bool:
+        rows = await self.platform.scan(VM_PREFIX)
+        if isinstance(rows, Unavailable):
+            return False
+        self.vm_rows = _vm_rows(rows)
+        self.changes_version = changes_version
+        self.vms = self._join_vms()
+        for listener in self.listeners:
+            listener()
+        return True
+
+    def _join_vms(self) -> dict[str, Vm]:
+        configured = self.in_force.fleet['vms'] if self.in_force else {}
+        return {
+            vm_id: Vm(
+                vm_id=vm_id,
+                pool=row['pool'],
+                state=row['state'],
+                epoch=row['epoch'],
+                data_centre=configured[vm_id]['data_centre'],
+                rack=configured[vm_id]['rack'],
+                address=configured[vm_id]['address'],
+                slots=configured[vm_id]['slots'],
+            )
+            for vm_id, row in self.vm_rows.items()
+            if vm_id in configured
+        }
+
+    async def _read_rows(self) -> _Read | Unavailable:
+        firsts = await self.platform.read([HEAD_KEY, CHANGES_KEY])
+        vms = await self.platform.scan(VM_PREFIX)
+        budgets = await self.platform.scan(BUDGET_PREFIX)
+        if isinstance(firsts, Unavailable):
+            return firsts
+        if isinstance(vms, Unavailable) or isinstance(budgets, Unavailable):
+            return Unavailable('The rows of the fleet could not be read.')
+        head, changes = firsts
+        rows = FleetRows(
+            head=typed(head, HeadRow) if head.version else None,
+            vms=_vm_rows(vms),
+            budgets={
+                row.key.removeprefix(BUDGET_PREFIX): typed(row, BudgetRow)
+                for row in budgets
+            },
+        )
+        return _Read(rows, head, changes)
+
+    async def _commit(
+        self,
+        read: _Read,
+        accepted: Accepted,
+        head: HeadRow,
+    ) -> InForce | Refused:
+        transaction = Transaction(
+            checks=(
+                Check(HEAD_KEY, read.head.version),
+                Check(CHANGES_KEY, read.changes.version),
+            ),
+            writes=_writes(read.rows, accepted, head),
+        )
+        for _attempt in range(SETTLE_LIMIT):
+            result = await self.platform.commit(transaction)
+            if isinstance(result, Committed):
+                return InForce(head['number'], head['digest'])
+            if isinstance(result, Unavailable):
+                return STORE_DOWN
+            if not isinstance(result, Uncertain):
+                return await self._lost_race(head)
+            await self.clock.sleep(SETTLE_DELAY_MS)
+        return UNSETTLED
+
+    async def _lost_race(self, head: HeadRow) -> InForce | Refused:
+        rows = await self.platform.read([HEAD_KEY])
+        if isinstance(rows, Unavailable):
+            return UNSETTLED
+        present = typed(rows[0], HeadRow) if rows[0].version else None
+        if present and present['change_id'] == head['change_id']:
+            return InForce(present['number'], present['digest'])
+        winner = f'by {present["operator"]}' if present else 'of a VM'
+        return Refused(
+            f'Another change, {winner}, came first.',
+            'Look at "cyclamenshift config diff", then apply again.',
+        )
+
+
+def _vm_rows(rows: list[Row]) -> dict[str, VmRow]:
+    return {row.key.removeprefix(VM_PREFIX): typed(row, VmRow) for row in rows}
+
+
+def _writes(
+    rows: FleetRows,
+    accepted: Accepted,
+    head: HeadRow,
+) -> tuple[Write, ...]:
+    writes = [Write(HEAD_KEY, head)]
+    for vm_id in sorted(rows.vms.keys() | accepted.vms.keys()):
+        vm = accepted.vms.get(vm_id)
+        if rows.vms.get(vm_id) != vm:
+            writes.append(Write(vm_key(vm_id), vm))
+    for service in sorted(rows.budgets.keys() | accepted.budgets.keys()):
+        budget = accepted.budgets.get(service)
+        if rows.budgets.get(service) != budget:
+            writes.append(Write(budget_key(service), budget))
+    moved = [
+        vm_id
+        for vm_id in sorted(accepted.vms)
+        if rows.vms.get(vm_id) != accepted.vms[vm_id]
+    ]
+    writes.append(Write(CHANGES_KEY, ChangesRow(vms=moved)))
+    return tuple(writes)
--- /dev/null
+++ b/cyclamenshift/controls/dispatcher.py
@@ -0,0 +1,322 @@
+"""
+cyclamenshift.controls.dispatcher
+=================================
+
+Takes each request to a worker, here or at its owner, and to an outcome.
+"""
+
+import random
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, ClassVar, cast
+
+import trio
+
+from ..component import Dump
+from ..control import Control
+from ..decisions import limits, membership, retries, routing
+from ..decisions.lanes import PoolQueue, Ticket
+from ..endpoint import Endpoint
+from ..model import (
+    Done,
+    Load,
+    NotRun,
+    Outcome,
+    Reason,
+    Request,
+    VmState,
+)
+from ..peer import Peer
+from ..plugin import register
+from .configuration import Configuration
+from .membership import Membership
+
+if TYPE_CHECKING:
+    from ..kernel import Kernel
+
+#: What is taken off the time left when a request is forwarded, ms.
+FORWARD_MARGIN_MS = 20
+#: The reasons that speak against the worker.
+WORKER_FAULTS = frozenset(
+    (
+        Reason.unreachable,
+        Reason.answer_lost,
+        Reason.deadline,
+    )
+)
+
+
+@register
+class Dispatcher(Control):
+    """Owns the queues of this entry VM's workers."""
+
+    name = 'dispatcher'
+    stage: ClassVar[int] = 5
+
+    def __init__(self, kernel: 'Kernel') -> None:
+        """Own no worker yet."""
+        super().__init__(kernel)
+        self.configuration = kernel.get(Configuration)
+        self.membership = kernel.get(Membership)
+        self.endpoint = kernel.get(Endpoint)
+        self.peer = kernel.get(Peer)
+        self.queues: dict[str, PoolQueue] = {}
+        self.run_times = limits.RunTimes()
+        self.retry_budget = retries.RetryBudget()
+        self.in_flight = 0
+        self.idle = trio.Event()
+        self.grants: dict[Ticket, trio.Event] = {}
+        self.rng = random.Random(kernel.settings['entry']['id'])
+        self.configuration.listeners.append(self.reconcile)
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Follow the members and VMs; the callers' tasks do the work."""
+        self.reconcile()
+        task_status.started()
+        heartbeat = self.kernel.settings['peers']['heartbeat']
+        while True:
+            await self.clock.sleep(heartbeat)
+            self.reconcile()
+
+    async def drain(self) -> None:
+        """Return when no request is in flight."""
+        while self.in_flight:
+            self.idle = trio.Event()
+            await self.idle.wait()
+
+    def dump(self) -> Dump:
+        """Return queues, loads and learned run times."""
+        now = self.clock.now()
+        return {
+            'in_flight': self.in_flight,
+            'retry_balance': round(self.retry_budget.balance, 1),
+            'run_times_ms': {
+                f'{service}/{work}': round(mean, 1)
+                for (service, work), mean in self.run_times.means.items()
+            },
+            'pools': {
+                pool: {
+                    'load': queue.load(now)._asdict(),
+                    'workers': sorted(queue.workers),
+                    'ejected': sorted(queue.health.ejected),
+                }
+                for pool, queue in self.queues.items()
+            },
+        }
+
+    def reconcile(self) -> None:
+        """Own the serving workers that the live members leave to us."""
+        members = membership.live_members(
+            self.membership.registered,
+            self.peer.reachable(),
+            self.membership.own,
+        )
+        serving = [
+            vm
+            for vm in self.configuration.vms.values()
+            if vm.state is VmState.serving
+        ]
+        owned = membership.owned_by(
+            self.membership.own.entry_id,
+            serving,
+            members,
+        )
+        for pool in {vm.pool for vm in serving} | self.queues.keys():
+            queue = self.queue(pool)
+            queue.set_workers(
+                {vm_id: vm for vm_id, vm in owned.items() if vm.pool == pool}
+            )
+            self.pump(queue)
+
+    def queue(self, pool: str) -> PoolQueue:
+        """Return the queue of *pool*, made when it is first asked for."""
+        if pool not in self.queues:
+            self.queues[pool] = PoolQueue(pool)
+        return self.queues[pool]
+
+    def loads(self) -> tuple[Load, ...]:
+        """Return what this entry VM's workers offer, by pool."""
+        now = self.clock.now()
+        return tuple(queue.load(now) for queue in self.queues.values())
+
+    async def handle(self, request: Request) -> Outcome:
+        """Take *request* to an outcome, with retries where they may be."""
+        attempt = 1
+        while True:
+            outcome = await self._attempt(request)
+            if isinstance(outcome, Done):
+                self.retry_budget.earn()
+            if not self._again(outcome, request, attempt):
+                return outcome
+            attempt += 1
+
+    async def serve(self, request: Request) -> Outcome:
+        """Let a worker of this entry VM run *request*; never forwards."""
+        self.in_flight += 1
+        try:
+            return await self._serve(request)
+        finally:
+            self.in_flight -= 1
+            if not self.in_flight:
+                self.idle.set()
+
+    def pump(self, queue: PoolQueue) -> None:
+        """Give out the free slots of *queue*."""
+        for grant in queue.grant(self.clock.now()):
+            self.grants[grant.ticket].set()
+
+    def _again(self, outcome: Outcome, request: Request, attempt: int) -> bool:
+        return (
+            attempt < retries.ATTEMPT_LIMIT
+            and self.clock.remaining(request.deadline) > 0
+            and retries.may_retry(outcome, request)
+            and self.retry_budget.spend()
+        )
+
+    async def _attempt(self, request: Request) -> Outcome:
+        pool = self._pool_of(request.service)
+        now = self.clock.now()
+        route = routing.choose(
+            self.queue(pool).load(now),
+            self.peer.loads(pool),
+            self.rng,
+        )
+        outcome = await self._follow(route, request)
+        self.kernel.metrics.attempts.inc({'outcome': type(outcome).__name__})
+        return outcome
+
+    @singledispatchmethod
+    async def _follow(self, route: routing.Route, request: Request) -> Outcome:
+        raise NotImplementedError(type(route).__qualname__)
+
+    @_follow.register
+    async def _follow_local(
+        self,
+        route: routing.Local,
+        request: Request,
+    ) -> Outcome:
+        return await self.serve(request)
+
+    @_follow.register
+    async def _follow_remote(
+        self,
+        route: routing.Remote,
+        request: Request,
+    ) -> Outcome:
+        self.kernel.metrics.forwards.inc({'peer': route.entry_id})
+        deadline = request.deadline - FORWARD_MARGIN_MS
+        return await self.peer.forward(
+            route.entry_id,
+            request._replace(deadline=deadline),
+        )
+
+    @_follow.register
+    async def _follow_nowhere(
+        self,
+        route: routing.Nowhere,
+        request: Request,
+    ) -> Outcome:
+        return NotRun(
+            Reason.no_worker,
+            'Try again; no worker of this service is in reach now.',
+            limits.LONGEST_RETRY_AFTER_MS,
+        )
+
+    def _pool_of(self, service: str) -> str:
+        in_force = self.configuration.in_force
+        if in_force is None or service not in in_force.fleet['services']:
+            return ''
+        return in_force.fleet['services'][service]['pool']
+
+    async def _serve(self, request: Request) -> Outcome:
+        queue = self.queue(self._pool_of(request.service))
+        refused = self._admit(queue, request)
+        if refused:
+            return refused
+        ticket = Ticket(
+            request.service,
+            request.deadline,
+            long=self._is_long(request),
+        )
+        if not await self._wait_for_slot(queue, ticket):
+            return NotRun(
+                Reason.deadline,
+                'Allow more time, or try again; every slot was taken.',
+            )
+        try:
+            return await self._send(queue, ticket, request)
+        finally:
+            queue.release(ticket)
+            self.pump(queue)
+
+    def _admit(self, queue: PoolQueue, request: Request) -> NotRun | None:
+        in_force = self.configuration.in_force
+        if in_force is None:
+            return NotRun(Reason.no_worker, 'Try again; just started.')
+        service = in_force.fleet['services'].get(request.service)
+        if service is None:
+            return NotRun(Reason.no_such_service, 'Name a service there is.')
+        return limits.admit(
+            queue.load(self.clock.now()),
+            queue.waiting[request.service],
+            service['queue'],
+            self.run_times.mean(request.service, request.work),
+            self.clock.remaining(request.deadline),
+        )
+
+    def _is_long(self, request: Request) -> bool:
+        in_force = self.configuration.in_force
+        services = in_force.fleet['services'] if in_force else {}
+        service = services.get(request.service)
+        work = service['work'].get(request.work) if service else None
+        return self.run_times.is_long(
+            request.service,
+            request.work,
+            declared=bool(work and work['long']),
+        )
+
+    async def _wait_for_slot(self, queue: PoolQueue, ticket: Ticket) -> bool:
+        granted = trio.Event()
+        self.grants[ticket] = granted
+        queue.offer(ticket)
+        self.pump(queue)
+        try:
+            with self.clock.move_on_after(
+                self.clock.remaining(ticket.deadline),
+            ):
+                await granted.wait()
+        except trio.Cancelled:
+            if ticket.worker:
+                queue.release(ticket)
+            raise
+        finally:
+            self.grants.pop(ticket)
+            queue.cancel(ticket)
+        return bool(ticket.worker)
+
+    async def _send(
+        self,
+        queue: PoolQueue,
+        ticket: Ticket,
+        request: Request,
+    ) -> Outcome:
+        worker = queue.workers.get(ticket.worker)
+        if worker is None:
+            return NotRun(Reason.refused, 'Try again; a worker has left.')
+        started = self.clock.now()
+        outcome = await self.endpoint.send(worker, request)
+        now = self.clock.now()
+        failed = _is_failure(outcome)
+        queue.health.record(worker.vm_id, now, failed=failed)
+        if isinstance(outcome, Done) and not failed:
+            elapsed = now - started
+            self.run_times.record(request.service, request.work, elapsed)
+        return outcome
+
+
+def _is_failure(outcome: Outcome) -> bool:
+    if isinstance(outcome, Done):
+        return outcome.status >= retries.SERVER_ERROR
+    return outcome.reason in WORKER_FAULTS
--- /dev/null
+++ b/cyclamenshift/controls/membership.py
@@ -0,0 +1,131 @@
+"""
+cyclamenshift.controls.membership
+=================================
+
+Registers this entry VM and follows the registrations of the others.
+"""
+
+import uuid
+from typing import TYPE_CHECKING, ClassVar, cast
+
+import trio
+
+from ..component import Dump
+from ..control import Control
+from ..model import EntryVm
+from ..platform import (
+    ABSENT,
+    Check,
+    Committed,
+    Platform,
+    Transaction,
+    Unavailable,
+    Write,
+)
+from ..plugin import register
+from ..rows import ENTRY_PREFIX, EntryRow, entry_key, typed
+
+if TYPE_CHECKING:
+    from ..kernel import Kernel
+
+#: How many polls pass between two readings of the platform's list.
+LIST_EVERY = 5
+
+
+@register
+class Membership(Control):
+    """Knows which entry VMs are registered; peers tell which are alive."""
+
+    name = 'membership'
+    stage: ClassVar[int] = 3
+
+    def __init__(self, kernel: 'Kernel') -> None:
+        """Know only this entry VM."""
+        super().__init__(kernel)
+        self.platform = kernel.get(Platform)
+        entry = kernel.settings['entry']
+        listen = kernel.settings['peers']
+        self.own = EntryVm(
+            entry_id=entry['id'],
+            data_centre=entry['data_centre'],
+            host=listen['host'],
+            port=listen['port'],
+            incarnation=uuid.uuid4().hex,
+        )
+        self.registered: dict[str, EntryVm] = {}
+        self.listed_leaving: set[str] = set()
+        self.version = ABSENT
+        self.changed = trio.Event()
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Register, then follow the others with each poll."""
+        await self.refresh()
+        task_status.started()
+        polls = 0
+        while True:
+            await self.clock.sleep(self.kernel.settings['platform']['poll'])
+            await self.refresh()
+            if polls % LIST_EVERY == 0:
+                await self._read_list()
+            polls += 1
+
+    async def refresh(self) -> None:
+        """Register if need be, and read the registrations."""
+        if self.version == ABSENT and not self.kernel.draining:
+            await self._register()
+        rows = await self.platform.scan(ENTRY_PREFIX)
+        if isinstance(rows, Unavailable):
+            return
+        registered = {}
+        for row in rows:
+            entry_id = row.key.removeprefix(ENTRY_PREFIX)
+            if entry_id != self.own.entry_id:
+                fields = typed(row, EntryRow)
+                registered[entry_id] = EntryVm(entry_id=entry_id, **fields)
+        if registered != self.registered:
+            self.registered = registered
+            self.changed.set()
+            self.changed = trio.Event()
+
+    async def drain(self) -> None:
+        """Take the registration away, if it is still this process's own."""
+        if self.version == ABSENT:
+            return
+        key = entry_key(self.own.entry_id)
+        await self.platform.commit(
+            Transaction(
+                (Check(key, self.version),),
+                (Write(key, None),),
+            ),
+        )
+
+    def dump(self) -> Dump:
+        """Return this entry VM and the registered others."""
+        return {
+            'own': self.own._asdict(),
+            'registered': sorted(self.registered),
+            'listed_leaving': sorted(self.listed_leaving),
+        }
+
+    async def _register(self) -> None:
+        key = entry_key(self.own.entry_id)
+        row = EntryRow(
+            data_centre=self.own.data_centre,
+            host=self.own.host,
+            port=self.own.port,
+            incarnation=self.own.incarnation,
+        )
+        transaction = Transaction((), (Write(key, row),))
+        result = await self.platform.commit(transaction)
+        if isinstance(result, Committed):
+            self.version = result.versions[key]
+        else:
+            self.log.warning('Not registered yet: %s.', type(result).__name__)
+
+    async def _read_list(self) -> None:
+        listed = await self.platform.list_vms()
+        if not isinstance(listed, Unavailable):
+            self.listed_leaving = {vm.vm_id for vm in listed if vm.leaving}
--- /dev/null
+++ b/cyclamenshift/controls/pools.py
@@ -0,0 +1,265 @@
+"""
+cyclamenshift.controls.pools
+============================
+
+Drains VMs and moves them between pools, under the services' budgets.
+
+An operator's change only marks the VM as leaving, with its target.  Any
+entry VM may finish it: each step is a conditional transaction, so doing
+a step twice changes nothing.
+"""
+
+from typing import TYPE_CHECKING, ClassVar, NamedTuple, cast
+
+import trio
+
+from ..component import Dump
+from ..control import Control
+from ..decisions import budget
+from ..decisions.membership import live_members, owner_of
+from ..endpoint import Endpoint
+from ..model import VmState
+from ..peer import Peer
+from ..platform import (
+    ABSENT,
+    Check,
+    Committed,
+    CommitResult,
+    Conflict,
+    Platform,
+    Row,
+    Transaction,
+    Unavailable,
+    Uncertain,
+    Write,
+)
+from ..plugin import register
+from ..rows import (
+    CHANGES_KEY,
+    HEAD_KEY,
+    BudgetRow,
+    ChangesRow,
+    HeadRow,
+    VmRow,
+    budget_key,
+    typed,
+    vm_key,
+)
+from .configuration import STORE_DOWN, Configuration
+from .membership import Membership
+
+if TYPE_CHECKING:
+    from ..kernel import Kernel
+
+#: How often a change that met another one is tried again.
+RACE_LIMIT = 8
+#: How long every entry VM may still send to a VM that leaves, ms.
+LEAVE_BOUND_MS = 3_000
+#: The wait between two looks at a leaving VM, ms.
+LEAVE_POLL_MS = 500
+
+
+class Changed(NamedTuple):
+    """The VM's row as it now is."""
+
+    vm_id: str
+    row: VmRow
+
+
+class _Place(NamedTuple):
+    """The rows that one change of a VM conditions on."""
+
+    head: Row
+    vm: Row
+    budgets: dict[str, Row]
+
+
+@register
+class Pools(Control):
+    """Changes the rows of VMs, and sees leaving VMs off."""
+
+    name = 'pools'
+    stage: ClassVar[int] = 5
+
+    def __init__(self, kernel: 'Kernel') -> None:
+        """See no VM off yet."""
+        super().__init__(kernel)
+        self.platform = kernel.get(Platform)
+        self.endpoint = kernel.get(Endpoint)
+        self.peer = kernel.get(Peer)
+        self.configuration = kernel.get(Configuration)
+        self.membership = kernel.get(Membership)
+        self.leaving_since: dict[tuple[str, int], int] = {}
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """See off the leaving VMs that fall to this entry VM."""
+        task_status.started()
+        while True:
+            await self.clock.sleep(LEAVE_POLL_MS)
+            for vm_id in self._mine():
+                await self._see_off(vm_id)
+
+    async def drain_vm(self, vm_id: str) -> Changed | budget.Refused:
+        """Let a VM leave its pool and stay drained."""
+        return await self.change(vm_id, VmState.leaving, '')
+
+    async def move(self, vm_id: str, target: str) -> Changed | budget.Refused:
+        """Let a VM leave its pool and join *target* when it is empty."""
+        in_force = self.configuration.in_force
+        pools = in_force.fleet['pools'] if in_force else {}
+        if target not in pools:
+            return budget.Refused(
+                f'There is no pool {target!r}.',
+                f'Use one of: {", ".join(sorted(pools))}.',
+            )
+        return await self.change(vm_id, VmState.leaving, target)
+
+    async def bring_back(self, vm_id: str) -> Changed | budget.Refused:
+        """Let a drained VM serve again in the pool it is in."""
+        return await self.change(vm_id, VmState.serving, '')
+
+    async def change(
+        self,
+        vm_id: str,
+        state: VmState,
+        target: str,
+    ) -> Changed | budget.Refused:
+        """
+        Change one VM's row and the budgets it touches, or nothing.
+
+        A change that loses a race is decided anew on the new rows.
+        """
+        for _attempt in range(RACE_LIMIT):
+            place = await self._read(vm_id)
+            if isinstance(place, budget.Refused):
+                return place
+            row = budget.next_row(typed(place.vm, VmRow), state, target)
+            if isinstance(row, budget.Refused):
+                return row
+            result = await self._try(vm_id, place, row)
+            if not isinstance(result, Conflict):
+                await self.configuration.refresh()
+                return result
+        return budget.Refused(
+            f'Other changes kept coming before that of {vm_id}.',
+            'Try again.',
+        )
+
+    def dump(self) -> Dump:
+        """Return the VMs being seen off, with the time since, ms."""
+        now = self.clock.now()
+        return {
+            vm_id: now - since
+            for (vm_id, _epoch), since in self.leaving_since.items()
+        }
+
+    async def _read(self, vm_id: str) -> _Place | budget.Refused:
+        in_force = self.configuration.in_force
+        services = sorted(in_force.fleet['services']) if in_force else []
+        keys = [HEAD_KEY, vm_key(vm_id), *map(budget_key, services)]
+        rows = await self.platform.read(keys)
+        if isinstance(rows, Unavailable):
+            return STORE_DOWN
+        head, vm, *budgets = rows
+        if vm.version == ABSENT:
+            return budget.Refused(
+                f'There is no VM {vm_id!r}.',
+                'Look at "cyclamenshift vms" for those there are.',
+            )
+        if typed(head, HeadRow)['number'] != self.configuration.number:
+            await self.configuration.refresh()
+            return await self._read(vm_id)
+        return _Place(head, vm, dict(zip(services, budgets, strict=True)))
+
+    async def _try(
+        self,
+        vm_id: str,
+        place: _Place,
+        row: VmRow,
+    ) -> Changed | budget.Refused | Conflict:
+        present = {
+            service: typed(budget_row, BudgetRow)
+            for service, budget_row in place.budgets.items()
+        }
+        moved = budget.charge(present, typed(place.vm, VmRow), row)
+        if isinstance(moved, budget.Refused):
+            return moved
+        transaction = _transaction(vm_id, place, row, moved)
+        result: CommitResult = await self.platform.commit(transaction)
+        if isinstance(result, Uncertain):
+            return await self._read_back(vm_id, row)
+        if isinstance(result, Committed):
+            self.log.info('%s is %s now.', vm_id, row['state'])
+            return Changed(vm_id, row)
+        return STORE_DOWN if isinstance(result, Unavailable) else result
+
+    async def _read_back(
+        self,
+        vm_id: str,
+        row: VmRow,
+    ) -> Changed | Conflict:
+        """Settle a lost answer: the epoch tells whether it took effect."""
+        while True:
+            await self.clock.sleep(LEAVE_POLL_MS)
+            rows = await self.platform.read([vm_key(vm_id)])
+            if isinstance(rows, Unavailable):
+                continue
+            if rows[0].version and typed(rows[0], VmRow) == row:
+                return Changed(vm_id, row)
+            return Conflict((vm_key(vm_id),))
+
+    def _mine(self) -> list[str]:
+        members = live_members(
+            self.membership.registered,
+            self.peer.reachable(),
+            self.membership.own,
+        )
+        return [
+            vm.vm_id
+            for vm in self.configuration.vms.values()
+            if vm.state is VmState.leaving
+            and owner_of(vm, members) == self.membership.own.entry_id
+        ]
+
+    async def _see_off(self, vm_id: str) -> None:
+        vm = self.configuration.vms[vm_id]
+        since = self.leaving_since.setdefault(
+            (vm_id, vm.epoch),
+            self.clock.now(),
+        )
+        if self.clock.now() - since < LEAVE_BOUND_MS:
+            return
+        running = await self.endpoint.running(vm)
+        if running != 0:
+            return
+        target = self.configuration.vm_rows[vm_id]['target']
+        after = VmState.serving if target else VmState.drained
+        result = await self.change(vm_id, after, target)
+        if isinstance(result, Changed):
+            self.leaving_since.pop((vm_id, vm.epoch), None)
+        else:
+            self.log.warning('%s stays leaving: %s', vm_id, result)
+
+
+def _transaction(
+    vm_id: str,
+    place: _Place,
+    row: VmRow,
+    moved: dict[str, BudgetRow],
+) -> Transaction:
+    checks = [
+        Check(HEAD_KEY, place.head.version),
+        Check(vm_key(vm_id), place.vm.version),
+    ]
+    writes = [
+        Write(vm_key(vm_id), row),
+        Write(CHANGES_KEY, ChangesRow(vms=[vm_id])),
+    ]
+    for service, budget_row in moved.items():
+        key = budget_key(service)
+        checks.append(Check(key, place.budgets[service].version))
+        writes.append(Write(key, budget_row))
+    return Transaction(tuple(checks), tuple(writes))
--- /dev/null
+++ b/cyclamenshift/decisions/acceptance.py
@@ -0,0 +1,118 @@
+"""
+cyclamenshift.decisions.acceptance
+==================================
+
+Whether a new configuration may replace the one in force.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from ..fleet import Fleet
+from ..model import VmState
+from ..rows import BudgetRow, HeadRow, VmRow
+from .budget import Refused, floor_of, serving
+
+#: The states in which a VM may be taken out of the configuration.
+REMOVABLE = frozenset((VmState.drained, VmState.lost))
+
+
+class FleetRows(NamedTuple):
+    """The rows that a change of configuration may move."""
+
+    head: HeadRow | None
+    vms: Mapping[str, VmRow]
+    budgets: Mapping[str, BudgetRow]
+
+
+class Accepted(NamedTuple):
+    """The rows as they will be; an absent one is deleted."""
+
+    vms: dict[str, VmRow]
+    budgets: dict[str, BudgetRow]
+
+
+def accept(
+    rows: FleetRows,
+    fleet: Fleet,
+    base: int,
+) -> Accepted | Refused:
+    """
+    Return the rows under *fleet*, which was written against number *base*.
+
+    Refused when another change came first, when a VM would vanish while
+    it serves, or when a service would fall below its floor.
+    """
+    number = rows.head['number'] if rows.head else 0
+    if rows.head and number != base:
+        return Refused(
+            f'Configuration {number} by {rows.head["operator"]} is in force; '
+            f'this change was made against {base}.',
+            'Look at "cyclamenshift config diff", then apply again.',
+        )
+    vms = _next_vms(rows.vms, fleet)
+    if isinstance(vms, Refused):
+        return vms
+    budgets = _next_budgets(vms.values(), fleet)
+    return _below_floor(rows.budgets, budgets) or Accepted(vms, budgets)
+
+
+def _next_vms(
+    present: Mapping[str, VmRow],
+    fleet: Fleet,
+) -> dict[str, VmRow] | Refused:
+    for vm_id, row in present.items():
+        if vm_id in fleet['vms']:
+            if row['pool'] in fleet['pools']:
+                continue
+            problem = f'The VM {vm_id} is in the pool {row["pool"]}.'
+            return Refused(problem, 'Move it before the pool is removed.')
+        if row['state'] not in REMOVABLE:
+            problem = f'The VM {vm_id} is still {row["state"]}.'
+            return Refused(problem, 'Drain it before it is removed.')
+    return {
+        vm_id: present.get(vm_id) or _new_vm(vm['pool'])
+        for vm_id, vm in fleet['vms'].items()
+    }
+
+
+def _new_vm(pool: str) -> VmRow:
+    return VmRow(pool=pool, state=VmState.serving, epoch=1, target='')
+
+
+def _next_budgets(
+    vms: Iterable[VmRow],
+    fleet: Fleet,
+) -> dict[str, BudgetRow]:
+    members: Counter[str] = Counter()
+    unavailable: Counter[str] = Counter()
+    for vm in vms:
+        members[vm['pool']] += 1
+        unavailable[vm['pool']] += vm['state'] is not VmState.serving
+    homes = Counter(vm['pool'] for vm in fleet['vms'].values())
+    return {
+        name: BudgetRow(
+            pool=service['pool'],
+            members=members[service['pool']],
+            unavailable=unavailable[service['pool']],
+            floor=floor_of(homes[service['pool']], service['availability']),
+        )
+        for name, service in fleet['services'].items()
+    }
+
+
+def _below_floor(
+    before: Mapping[str, BudgetRow],
+    after: Mapping[str, BudgetRow],
+) -> Refused | None:
+    for service, budget in after.items():
+        if before.get(service) == budget:
+            continue
+        if serving(budget) < budget['floor']:
+            return Refused(
+                f'{service} would have {serving(budget)} serving VMs; '
+                f'its floor would be {budget["floor"]}.',
+                'Lower its availability, or bring VMs back first.',
+            )
+    return None
--- /dev/null
+++ b/cyclamenshift/decisions/claims.py
@@ -0,0 +1,118 @@
+"""
+cyclamenshift.decisions.claims
+==============================
+
+What a claim row says to another request with the same idempotency key.
+"""
+
+import base64
+from functools import singledispatch
+from typing import NamedTuple, TypeAlias
+
+import xxhash
+
+from ..model import Done, NotRun, Outcome, Reason, Request, Unknown
+from ..rows import ClaimRow
+
+ASK_AGAIN = 'Ask for the outcome with the same idempotency key later.'
+
+
+class Mine(NamedTuple):
+    """This attempt holds the claim; it alone may run the request."""
+
+
+class Settled(NamedTuple):
+    """The request has this outcome already."""
+
+    outcome: Outcome
+
+
+class Free(NamedTuple):
+    """An earlier attempt certainly did not run; claim it anew."""
+
+
+class Held(NamedTuple):
+    """Another attempt holds the claim and has not finished."""
+
+
+Standing: TypeAlias = Mine | Settled | Free | Held
+
+
+def digest_of(request: Request) -> str:
+    """Return what tells a request from another one with the same key."""
+    named = f'{request.service}\n{request.work}\n{request.content_type}\n'
+    return xxhash.xxh128_hexdigest(named.encode() + request.body)
+
+
+def new_claim(request: Request, attempt: str, expires: int) -> ClaimRow:
+    """Return the row of a claim that *attempt* is to hold."""
+    return ClaimRow(
+        attempt=attempt,
+        request_id=request.request_id,
+        digest=digest_of(request),
+        state='claimed',
+        status=0,
+        content_type='',
+        body='',
+        object='',
+        expires=expires,
+    )
+
+
+def standing(row: ClaimRow, digest: str, attempt: str) -> Standing:
+    """Return where *attempt* stands when *row* is in the table."""
+    if row['digest'] != digest:
+        return Settled(
+            NotRun(
+                Reason.key_reused,
+                'Use a new idempotency key; this one names other work.',
+            ),
+        )
+    if row['state'] == 'not-run':
+        return Free()
+    if row['state'] == 'claimed':
+        return Mine() if row['attempt'] == attempt else Held()
+    return Settled(recorded(row))
+
+
+def recorded(row: ClaimRow) -> Outcome:
+    """Return the outcome in *row*; the body of an object is left empty."""
+    if row['state'] == 'done':
+        body = base64.b64decode(row['body'])
+        return Done(row['status'], row['content_type'], body)
+    if row['state'] == 'not-run':
+        return NotRun(Reason.refused, 'Send it again; it did not run.')
+    if row['state'] == 'claimed':
+        return Unknown(Reason.in_progress, ASK_AGAIN)
+    return Unknown(Reason.answer_lost, 'Compare with the service itself.')
+
+
+@singledispatch
+def record(outcome: Outcome, claim: ClaimRow) -> ClaimRow:
+    """Return *claim* with *outcome* recorded."""
+    raise NotImplementedError(type(outcome).__qualname__)
+
+
+@record.register
+def _done(outcome: Done, claim: ClaimRow) -> ClaimRow:
+    return ClaimRow(
+        attempt=claim['attempt'],
+        request_id=claim['request_id'],
+        digest=claim['digest'],
+        state='done',
+        status=outcome.status,
+        content_type=outcome.content_type,
+        body=base64.b64encode(outcome.body).decode(),
+        object='',
+        expires=claim['expires'],
+    )
+
+
+@record.register
+def _not_run(outcome: NotRun, claim: ClaimRow) -> ClaimRow:
+    return {**claim, 'state': 'not-run'}
+
+
+@record.register
+def _unknown(outcome: Unknown, claim: ClaimRow) -> ClaimRow:
+    return {**claim, 'state': 'unknown'}
--- /dev/null
+++ b/cyclamenshift/decisions/limits.py
@@ -0,0 +1,76 @@
+"""
+cyclamenshift.decisions.limits
+==============================
+
+Learned run times, the length of queues, and which requests to shed.
+"""
+
+from ..model import Load, NotRun, Reason
+
+#: The weight of the newest run time in the mean.
+NEWEST_WEIGHT = 0.1
+#: Work whose mean run time is above this is long, ms.
+LONG_MS = 1_000
+#: The longest wait that a refused caller is told, ms.
+LONGEST_RETRY_AFTER_MS = 30_000
+
+
+class RunTimes:
+    """The mean run time of each kind of work, in milliseconds."""
+
+    def __init__(self) -> None:
+        """Start with nothing learned."""
+        self.means: dict[tuple[str, str], float] = {}
+
+    def record(self, service: str, work: str, elapsed: int) -> None:
+        """Count one run that took *elapsed* ms."""
+        mean = self.means.get((service, work), elapsed)
+        mean += NEWEST_WEIGHT * (elapsed - mean)
+        self.means[service, work] = mean
+
+    def is_long(self, service: str, work: str, *, declared: bool) -> bool:
+        """Return whether the work is long; *declared* until it is known."""
+        mean = self.means.get((service, work))
+        return declared if mean is None else mean > LONG_MS
+
+    def mean(self, service: str, work: str) -> float:
+        """Return the mean in ms, 0 while nothing is known."""
+        return self.means.get((service, work), 0)
+
+
+def admit(
+    load: Load,
+    waiting: int,
+    queue_limit: int,
+    mean_run: float,
+    remaining: int,
+) -> NotRun | None:
+    """
+    Return why a request must not queue, or None if it may.
+
+    *waiting* requests of its service queue already, at most *queue_limit*
+    may; *mean_run* and *remaining* are milliseconds.
+    """
+    if load.slots == 0:
+        return NotRun(
+            Reason.no_worker,
+            'Try again; no worker of this pool is in reach now.',
+            LONGEST_RETRY_AFTER_MS,
+        )
+    if load.free > load.queued:
+        return None
+    wait = round(mean_run * (load.queued + 1) / load.slots)
+    retry_after = min(max(wait, 1), LONGEST_RETRY_AFTER_MS)
+    if waiting >= queue_limit:
+        return NotRun(
+            Reason.queue_full,
+            'Try again after the time given; the queue is full.',
+            retry_after,
+        )
+    if wait > remaining:
+        return NotRun(
+            Reason.deadline,
+            'Allow more time, or try again; the wait is too long.',
+            retry_after,
+        )
+    return None
--- /dev/null
+++ b/cyclamenshift/decisions/membership.py
@@ -0,0 +1,55 @@
+"""
+cyclamenshift.decisions.membership
+==================================
+
+Which entry VMs count as live, and which of them owns each worker.
+"""
+
+from collections.abc import Collection, Iterable, Mapping
+
+import xxhash
+
+from ..model import EntryVm, Vm
+
+
+def live_members(
+    registered: Mapping[str, EntryVm],
+    reachable: Collection[str],
+    own: EntryVm,
+) -> list[EntryVm]:
+    """Return this entry VM and the reachable registered ones, by id."""
+    members = {
+        entry_id: entry
+        for entry_id, entry in registered.items()
+        if entry_id in reachable
+    }
+    members[own.entry_id] = own
+    return [members[entry_id] for entry_id in sorted(members)]
+
+
+def owner_of(vm: Vm, members: Collection[EntryVm]) -> str:
+    """
+    Return the id of the entry VM that owns the worker on *vm*.
+
+    Entry VMs in the worker's data centre come first; one of another data
+    centre owns it only where there is none.  Rendezvous hashing moves
+    only the workers of a member that comes or goes.
+    """
+    near = [entry for entry in members if entry.data_centre == vm.data_centre]
+    return max(
+        (entry.entry_id for entry in near or members),
+        key=lambda entry_id: _weight(entry_id, vm.vm_id),
+    )
+
+
+def owned_by(
+    entry_id: str,
+    vms: Iterable[Vm],
+    members: Collection[EntryVm],
+) -> dict[str, Vm]:
+    """Return those of *vms* that the entry VM owns, by id."""
+    return {vm.vm_id: vm for vm in vms if owner_of(vm, members) == entry_id}
+
+
+def _weight(entry_id: str, vm_id: str) -> int:
+    return xxhash.xxh64_intdigest(f'{entry_id}|{vm_id}'.encode())
--- /dev/null
+++ b/cyclamenshift/endpoints/__init__.py
@@ -0,0 +1,6 @@
+"""
+cyclamenshift.endpoints
+=======================
+
+The connections to the workers, found by name.
+"""
--- /dev/null
+++ b/cyclamenshift/endpoints/http.py
@@ -0,0 +1,138 @@
+"""
+cyclamenshift.endpoints.http
+============================
+
+Workers over HTTP: one POST for each request.
+
+The worker echoes ``Request-Id``.  A 503 with a ``Refused`` header says
+that the request was not started.
+"""
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Final
+
+import httpx
+import msgspec
+import trio
+
+from ..clock import SECOND_MS
+from ..endpoint import Endpoint
+from ..model import Done, NotRun, Outcome, Reason, Request, Unknown, Vm
+from ..platform import Unavailable
+from ..plugin import register
+
+if TYPE_CHECKING:
+    from ..kernel import Kernel
+
+#: Errors before the first byte of the request was written.
+NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+#: The header that carries the request id both ways.
+REQUEST_ID: Final = 'Request-Id'
+#: The header of a worker that did not start the request.
+REFUSED: Final = 'Refused'
+#: How long a worker may take to say how much it runs, seconds.
+STATUS_TIMEOUT_S = 1
+
+ASK_KEY = 'Ask for the outcome by its idempotency key before trying again.'
+
+
+@register
+class HttpEndpoint(Endpoint):
+    """
+    Keeps connections for repeatable work only.
+
+    A kept connection may have been lost without a sign, so work that may
+    not be repeated gets a new one each time.
+    """
+
+    name = 'http'
+
+    def __init__(self, kernel: 'Kernel') -> None:
+        """Prepare both clients; connect with the first request."""
+        super().__init__(kernel)
+        settings = kernel.settings['endpoint']
+        self.connect_timeout = settings['connect_timeout'] / SECOND_MS
+        self.kept = httpx.AsyncClient(
+            limits=httpx.Limits(max_keepalive_connections=None),
+        )
+        self.fresh = httpx.AsyncClient(
+            limits=httpx.Limits(max_keepalive_connections=0),
+        )
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Keep the connections until cancelled."""
+        async with self.kept, self.fresh:
+            await super().run(task_status)
+
+    async def send(self, worker: Vm, request: Request) -> Outcome:
+        """Let *worker* run *request* and return the exact outcome."""
+        remaining = self.clock.remaining(request.deadline)
+        if not remaining:
+            return NotRun(Reason.deadline, 'Allow more time.')
+        outcome: Outcome = Unknown(Reason.deadline, ASK_KEY)
+        with self.clock.move_on_after(remaining):
+            outcome = await self._post(worker, request)
+        return outcome
+
+    async def running(self, worker: Vm) -> int | Unavailable:
+        """Return how many requests *worker* runs now."""
+        try:
+            response = await self.kept.get(
+                f'{worker.address}/status',
+                timeout=STATUS_TIMEOUT_S,
+            )
+            return msgspec.json.decode(response.content, type=dict[str, int])[
+                'running'
+            ]
+        except (httpx.HTTPError, msgspec.MsgspecError, KeyError):
+            return Unavailable(f'{worker.vm_id} does not tell its status.')
+
+    async def _post(self, worker: Vm, request: Request) -> Outcome:
+        client = self.kept if request.repeatable else self.fresh
+        try:
+            response = await client.post(
+                f'{worker.address}/requests',
+                content=request.body,
+                headers=_headers(request),
+                timeout=httpx.Timeout(None, connect=self.connect_timeout),
+            )
+        except NOT_SENT:
+            return NotRun(Reason.unreachable, 'Try again; a worker is gone.')
+        except httpx.HTTPError as error:
+            self.log.info('Lost the answer of %s: %r.', worker.vm_id, error)
+            return Unknown(Reason.answer_lost, ASK_KEY)
+        return self._read(worker, request, response)
+
+    def _read(
+        self,
+        worker: Vm,
+        request: Request,
+        response: httpx.Response,
+    ) -> Outcome:
+        if response.headers.get(REQUEST_ID) != request.request_id:
+            self.kernel.metrics.late_answers.inc({'from': worker.vm_id})
+            self.log.warning('%s gave a foreign answer.', worker.vm_id)
+            return Unknown(Reason.answer_lost, ASK_KEY)
+        refused = response.headers.get(REFUSED)
+        unavailable = response.status_code == HTTPStatus.SERVICE_UNAVAILABLE
+        if unavailable and refused:
+            return NotRun(Reason.refused, f'Try again; worker {refused}.')
+        return Done(
+            response.status_code,
+            response.headers.get('Content-Type', ''),
+            response.content,
+        )
+
+
+def _headers(request: Request) -> dict[str, str]:
+    headers = {
+        'Content-Type': request.content_type,
+        REQUEST_ID: request.request_id,
+        'Request-Kind': request.work,
+    }
+    if request.key:
+        headers['Idempotency-Key'] = request.key
+    return headers
--- /dev/null
+++ b/cyclamenshift/endpoints/memory.py
@@ -0,0 +1,29 @@
+"""
+cyclamenshift.endpoints.memory
+==============================
+
+Workers inside the process, for a first run and for tests.
+"""
+
+from http import HTTPStatus
+
+from ..endpoint import Endpoint
+from ..model import Done, Outcome, Request, Vm
+from ..platform import Unavailable
+from ..plugin import register
+
+
+@register
+class MemoryEndpoint(Endpoint):
+    """Answers each request at once with its own body."""
+
+    name = 'memory'
+    aliases = ('embedded',)
+
+    async def send(self, worker: Vm, request: Request) -> Outcome:
+        """Return the body of *request* as the answer."""
+        return Done(HTTPStatus.OK, request.content_type, request.body)
+
+    async def running(self, worker: Vm) -> int | Unavailable:
+        """Return 0: each request ends as it starts."""
+        return 0
--- /dev/null
+++ b/cyclamenshift/frontend.py
@@ -0,0 +1,104 @@
+"""
+cyclamenshift.frontend
+======================
+
+The base of the components that callers and operators reach over HTTP.
+"""
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import TYPE_CHECKING, Any, ClassVar, cast
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from quart_trio import QuartTrio
+
+from .clock import SECOND_MS
+from .component import Component
+from .errors import StartError
+
+if TYPE_CHECKING:
+    from .kernel import Kernel
+    from .settings import ListenSettings
+
+#: The media type of answers that report a problem.
+PROBLEM_TYPE = 'application/problem+json'
+
+
+class Frontend(Component):
+    """An HTTP server: a quart application on hypercorn's trio worker."""
+
+    kind = 'frontend'
+    stage: ClassVar[int] = 6
+
+    def __init__(self, kernel: 'Kernel') -> None:
+        """Create the application; listen when run."""
+        super().__init__(kernel)
+        self.app = QuartTrio(self.name)
+        self.app.config['BODY_TIMEOUT'] = None
+        self.addresses: list[str] = []
+        self._closing = trio.Event()
+        self._closed = trio.Event()
+
+    async def listen(
+        self,
+        settings: 'ListenSettings',
+        task_status: trio.TaskStatus[None],
+    ) -> None:
+        """
+        Serve the application until drained.
+
+        Raises StartError when the address can't be had.
+        """
+        config = Config()
+        config.bind = [f'{settings["host"]}:{settings["port"]}']
+        config.accesslog = None
+        config.errorlog = None
+        config.include_server_header = False
+        config.graceful_timeout = (
+            self.kernel.settings['entry']['grace'] / SECOND_MS
+        )
+        try:
+            await self._serve(config, task_status)
+        except OSError as error:
+            raise StartError(
+                f'{self.name}: can not listen on {config.bind[0]}: {error}.',
+                'Free the port, or set another one in the settings.',
+            ) from error
+
+    async def drain(self) -> None:
+        """Accept no connection; return when the last request has ended."""
+        self._closing.set()
+        await self._closed.wait()
+
+    async def _serve(
+        self,
+        config: Config,
+        task_status: trio.TaskStatus[None],
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            server = partial(
+                serve,
+                cast(Any, self.app),
+                config,
+                shutdown_trigger=self._closing.wait,
+            )
+            self.addresses = await nursery.start(
+                _told_when_ended,
+                server,
+                self._closed,
+            )
+            self.log.info('Listening on %s.', ', '.join(self.addresses))
+            task_status.started()
+
+
+async def _told_when_ended(
+    server: Callable[..., Awaitable[None]],
+    ended: trio.Event,
+    task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    try:
+        await server(task_status=task_status)
+    finally:
+        ended.set()
--- /dev/null
+++ b/cyclamenshift/frontends/__init__.py
@@ -0,0 +1,6 @@
+"""
+cyclamenshift.frontends
+=======================
+
+The HTTP servers for callers and for operators.
+"""
--- /dev/null
+++ b/cyclamenshift/frontends/callers.py
@@ -0,0 +1,215 @@
+"""
+cyclamenshift.frontends.callers
+===============================
+
+The HTTP interface for callers: one POST for each request.
+"""
+
+import uuid
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Final
+
+import quart
+import trio
+from quart import Response
+from werkzeug.exceptions import (
+    HTTPException,
+    RequestEntityTooLarge,
+    RequestTimeout,
+)
+
+from ..clock import SECOND_MS
+from ..controls.claims import Claims
+from ..controls.configuration import Configuration
+from ..controls.dispatcher import Dispatcher
+from ..decisions import claims as claim_rules
+from ..fleet import ServiceFields
+from ..frontend import Frontend
+from ..model import NotRun, Outcome, Reason, Request
+from ..platform import Unavailable
+from ..plugin import register
+from .answers import OUTCOME, answer, problem, respond
+
+if TYPE_CHECKING:
+    from ..kernel import Kernel
+
+#: The longest idempotency key, in characters.
+KEY_LIMIT: Final = 200
+#: The kind of work of a request that names none.
+DEFAULT_WORK: Final = 'default'
+
+KEY_MISSING = NotRun(
+    Reason.key_missing,
+    f'Send an Idempotency-Key of at most {KEY_LIMIT} characters; '
+    'this work may not be repeated.',
+)
+
+
+@register
+class CallerFrontend(Frontend):
+    """Reads whole requests, and answers each with its one outcome."""
+
+    name = 'callers'
+
+    def __init__(self, kernel: 'Kernel') -> None:
+        """Set the routes and the bounds of bodies."""
+        super().__init__(kernel)
+        self.settings = kernel.settings['callers']
+        self.configuration = kernel.get(Configuration)
+        self.claims = kernel.get(Claims)
+        self.dispatcher = kernel.get(Dispatcher)
+        self.app.config['MAX_CONTENT_LENGTH'] = self.settings['body_limit']
+        self.app.config['BODY_TIMEOUT'] = (
+            self.settings['read_timeout'] / SECOND_MS
+        )
+        self.app.post('/v1/services/<service>/requests')(self.post_request)
+        self.app.get('/v1/requests/<key>')(self.get_request)
+        self.app.get('/healthz')(self.get_health)
+        self.app.get('/readyz')(self.get_readiness)
+        self.app.register_error_handler(HTTPException, _http_error)
+        self.app.after_request(self._close_when_draining)
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve callers."""
+        await self.listen(self.settings, task_status)
+
+    async def drain(self) -> None:
+        """
+        Let the balancer see that this entry VM leaves, then close.
+
+        Requests are still taken during the notice: a caller that was
+        sent here a moment ago gets its answer.
+        """
+        await self.clock.sleep(self.settings['leaving_notice'])
+        await super().drain()
+
+    async def post_request(self, service: str) -> Response:
+        """Take one request to its outcome."""
+        request_id = uuid.uuid4().hex
+        outcome = await self._outcome(service, request_id)
+        name = type(outcome).__name__
+        self.kernel.metrics.outcomes.inc({'outcome': name})
+        return answer(outcome, request_id)
+
+    async def get_request(self, key: str) -> Response:
+        """Tell what became of the request with this idempotency key."""
+        row = await self.claims.look_up(key)
+        if isinstance(row, Unavailable):
+            return problem(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                Reason.store_down,
+                'Ask again when the platform is back.',
+            )
+        if row is None:
+            return problem(
+                HTTPStatus.NOT_FOUND,
+                'no-such-key',
+                'Send the request; no entry VM has claimed this key.',
+            )
+        return answer(claim_rules.recorded(row), row['request_id'])
+
+    async def get_health(self) -> Response:
+        """Say that the process runs."""
+        return Response('ok\n')
+
+    async def get_readiness(self) -> Response:
+        """Say whether the balancer should send callers here."""
+        if self.kernel.draining:
+            return problem(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                Reason.stopping,
+                'Use another entry VM.',
+            )
+        if self.configuration.in_force is None:
+            return problem(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'no-configuration',
+                'Apply a configuration, or wait until one is read.',
+            )
+        return Response('ready\n')
+
+    async def _outcome(self, service: str, request_id: str) -> Outcome:
+        fields = self._service(service)
+        if fields is None:
+            return NotRun(
+                Reason.no_such_service,
+                f'There is no service {service!r}; name one that there is.',
+            )
+        started = self.clock.now()
+        timeout = self._timeout()
+        if isinstance(timeout, NotRun):
+            return timeout
+        body = await quart.request.get_data(cache=False, as_text=False)
+        request = _build(service, fields, request_id, started + timeout, body)
+        if isinstance(request, NotRun):
+            return request
+        if request.repeatable:
+            return await self.dispatcher.handle(request)
+        return await self.claims.settle(request, self.dispatcher.handle)
+
+    def _service(self, name: str) -> ServiceFields | None:
+        in_force = self.configuration.in_force
+        return in_force.fleet['services'].get(name) if in_force else None
+
+    def _timeout(self) -> int | NotRun:
+        text = quart.request.headers.get('Request-Timeout')
+        if text is None:
+            return self.settings['default_timeout']
+        longest = self.settings['longest_timeout']
+        if not text.isdecimal() or not 0 < int(text) <= longest:
+            return NotRun(
+                Reason.bad_request,
+                f'Send a Request-Timeout from 1 to {longest} ms.',
+            )
+        return int(text)
+
+    async def _close_when_draining(self, response: Response) -> Response:
+        if self.kernel.draining:
+            response.headers['Connection'] = 'close'
+        return response
+
+
+def _build(
+    service: str,
+    fields: ServiceFields,
+    request_id: str,
+    deadline: int,
+    body: bytes,
+) -> Request | NotRun:
+    headers = quart.request.headers
+    work = headers.get('Request-Kind', DEFAULT_WORK)
+    known = fields['work'].get(work)
+    if known is None and fields['work']:
+        kinds = ', '.join(sorted(fields['work']))
+        return NotRun(
+            Reason.bad_request,
+            f'Send a Request-Kind that {service} has: {kinds}.',
+        )
+    repeatable = bool(known and known['repeatable'])
+    key = '' if repeatable else headers.get('Idempotency-Key', '')
+    if not repeatable and not 0 < len(key) <= KEY_LIMIT:
+        return KEY_MISSING
+    return Request(
+        request_id=request_id,
+        service=service,
+        work=work,
+        body=body,
+        content_type=headers.get('Content-Type', ''),
+        deadline=deadline,
+        repeatable=repeatable,
+        key=key,
+    )
+
+
+async def _http_error(error: HTTPException) -> Response:
+    if isinstance(error, RequestEntityTooLarge):
+        return respond(NotRun(Reason.too_large, 'Send a smaller body.'))
+    if isinstance(error, RequestTimeout):
+        return respond(NotRun(Reason.bad_request, 'Send the body faster.'))
+    status = HTTPStatus(error.code or HTTPStatus.INTERNAL_SERVER_ERROR)
+    response = problem(status, 'no-such-call', error.description or '')
+    response.headers[OUTCOME] = 'not-run'
+    return response
--- /dev/null
+++ b/cyclamenshift/frontends/operators.py
@@ -0,0 +1,197 @@
+"""
+cyclamenshift.frontends.operators
+=================================
+
+The HTTP interface for operators, on a port of its own.
+"""
+
+from functools import singledispatchmethod
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, TypedDict, TypeVar
+
+import msgspec
+import quart
+import trio
+from quart import Response
+
+from ..controls.configuration import Configuration, InForce, Proposal
+from ..controls.pools import Changed, Pools
+from ..decisions.budget import Refused
+from ..errors import SettingsError
+from ..frontend import Frontend
+from ..metrics import TEXT_FORMAT
+from ..platform import Platform, Unavailable
+from ..plugin import register
+from ..rows import BUDGET_PREFIX, BudgetRow, typed
+from .answers import problem
+
+if TYPE_CHECKING:
+    from ..kernel import Kernel
+
+ShapeType = TypeVar('ShapeType')
+
+
+class ApplyCall(TypedDict):
+    """The body of ``PUT /v1/config``: files by name, and the base."""
+
+    texts: dict[str, str]
+    base: int
+    change_id: str
+    operator: str
+
+
+class MoveCall(TypedDict):
+    """The body of ``POST /v1/vms/ID/move``."""
+
+    to: str
+
+
+@register
+class OperatorFrontend(Frontend):
+    """Shows the state of the fleet and changes it."""
+
+    name = 'operators'
+
+    def __init__(self, kernel: 'Kernel') -> None:
+        """Set the routes."""
+        super().__init__(kernel)
+        self.settings = kernel.settings['operators']
+        self.configuration = kernel.get(Configuration)
+        self.pools = kernel.get(Pools)
+        self.app.get('/metrics')(self.get_metrics)
+        self.app.get('/v1/dump')(self.get_dump)
+        self.app.get('/v1/config')(self.get_config)
+        self.app.put('/v1/config')(self.put_config)
+        self.app.get('/v1/config/status')(self.get_config_status)
+        self.app.get('/v1/pools')(self.get_pools)
+        self.app.get('/v1/vms')(self.get_vms)
+        self.app.post('/v1/vms/<vm_id>/drain')(self.post_drain)
+        self.app.post('/v1/vms/<vm_id>/move')(self.post_move)
+        self.app.post('/v1/vms/<vm_id>/return')(self.post_return)
+        self.app.register_error_handler(
+            msgspec.MsgspecError,
+            _wrong_body,
+        )
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve operators."""
+        await self.listen(self.settings, task_status)
+
+    async def get_metrics(self) -> Response:
+        """Return the metrics as Prometheus text."""
+        return Response(
+            self.kernel.metrics.render(),
+            content_type=TEXT_FORMAT,
+        )
+
+    async def get_dump(self) -> Response:
+        """Return the state of every component of this process."""
+        return _json(self.kernel.dump())
+
+    async def get_config(self) -> Response:
+        """Return the files of the configuration in force."""
+        in_force = self.configuration.in_force
+        return _json(
+            {
+                'number': self.configuration.number,
+                'texts': in_force.texts if in_force else {},
+            }
+        )
+
+    async def put_config(self) -> Response:
+        """Apply a new configuration against the base that is named."""
+        call = await _body(ApplyCall)
+        try:
+            result = await self.configuration.apply(Proposal(**call))
+        except SettingsError as error:
+            return problem(
+                HTTPStatus.UNPROCESSABLE_ENTITY,
+                error.problem,
+                error.remedy,
+            )
+        return self._show(result)
+
+    async def get_config_status(self) -> Response:
+        """Return the number in force here and how fresh the view is."""
+        return _json(
+            {
+                'entry': self.kernel.settings['entry']['id'],
+                'number': self.configuration.number,
+                'head': self.configuration.head,
+                'view_age_ms': self.clock.now()
+                - self.configuration.refreshed_at,
+                'store_up': self.configuration.store_up,
+            }
+        )
+
+    async def get_pools(self) -> Response:
+        """Return the budget of each service, as the table has it now."""
+        rows = await self.kernel.get(Platform).scan(BUDGET_PREFIX)
+        if isinstance(rows, Unavailable):
+            return problem(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                rows.reason,
+                'Try again when the platform is back.',
+            )
+        return _json(
+            {
+                row.key.removeprefix(BUDGET_PREFIX): typed(row, BudgetRow)
+                for row in rows
+            }
+        )
+
+    async def get_vms(self) -> Response:
+        """Return the row of each VM, as this entry VM knows it."""
+        await self.configuration.refresh()
+        return _json(self.configuration.vm_rows)
+
+    async def post_drain(self, vm_id: str) -> Response:
+        """Let a VM leave its pool and stay drained."""
+        return self._show(await self.pools.drain_vm(vm_id))
+
+    async def post_move(self, vm_id: str) -> Response:
+        """Let a VM leave its pool and join another."""
+        call = await _body(MoveCall)
+        return self._show(await self.pools.move(vm_id, call['to']))
+
+    async def post_return(self, vm_id: str) -> Response:
+        """Let a drained VM serve again."""
+        return self._show(await self.pools.bring_back(vm_id))
+
+    @singledispatchmethod
+    def _show(self, result: InForce | Changed | Refused) -> Response:
+        raise NotImplementedError(type(result).__qualname__)
+
+    @_show.register
+    def _show_in_force(self, result: InForce) -> Response:
+        return _json(result._asdict())
+
+    @_show.register
+    def _show_changed(self, result: Changed) -> Response:
+        return _json({'vm': result.vm_id, **result.row})
+
+    @_show.register
+    def _show_refused(self, result: Refused) -> Response:
+        return problem(HTTPStatus.CONFLICT, result.reason, result.remedy)
+
+
+def _json(value: Any) -> Response:
+    return Response(
+        msgspec.json.encode(value, order='sorted'),
+        content_type='application/json',
+    )
+
+
+async def _body(shape: type[ShapeType]) -> ShapeType:
+    return msgspec.json.decode(await quart.request.get_data(), type=shape)
+
+
+async def _wrong_body(error: msgspec.MsgspecError) -> Response:
+    return problem(
+        HTTPStatus.BAD_REQUEST,
+        str(error),
+        'Send JSON of the documented shape.',
+    )
--- /dev/null
+++ b/cyclamenshift/kernel.py
@@ -0,0 +1,113 @@
+"""
+cyclamenshift.kernel
+====================
+
+Starts the components that the settings name, and stops them gracefully.
+"""
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, TypeVar
+
+import trio
+
+from . import plugin
+from .clock import Clock
+from .component import Component, Dump
+from .logs import get_logger
+from .metrics import Metrics
+
+if TYPE_CHECKING:
+    from .settings import Settings
+
+ComponentType = TypeVar('ComponentType', bound=Component)
+
+#: The packages whose modules register the plug-ins of this project.
+FAMILIES = ('platforms', 'endpoints', 'controls', 'peers', 'frontends')
+
+log = get_logger('kernel')
+
+
+class Kernel:
+    """
+    The process: its settings, clock, metrics and components.
+
+    Components find each other through ``get``; none is global.
+    """
+
+    def __init__(self, settings: 'Settings', clock: Clock) -> None:
+        """Keep *settings* and *clock*; components are added next."""
+        self.settings = settings
+        self.clock = clock
+        self.metrics = Metrics()
+        self.components: list[Component] = []
+        self.stop_asked = trio.Event()
+        self.draining = False
+
+    def add(self, member: type[Component]) -> None:
+        """Create the component *member*; it starts after those before."""
+        self.components.append(member(self))
+
+    def get(self, base: type[ComponentType]) -> ComponentType:
+        """Return the component that is a *base*."""
+        for component in self.components:
+            if isinstance(component, base):
+                return component
+        raise LookupError(base.__qualname__)
+
+    def stop(self) -> None:
+        """Ask for the graceful stop; asking twice does no harm."""
+        self.stop_asked.set()
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run every component until a stop is asked for, then drain."""
+        async with trio.open_nursery() as nursery:
+            for component in self.components:
+                await nursery.start(component.run)
+            log.info('Every component has started.')
+            task_status.started()
+            await self.stop_asked.wait()
+            await self._drain()
+            nursery.cancel_scope.cancel()
+        log.info('Stopped.')
+
+    def dump(self) -> Dump:
+        """Return the state of every component by its name."""
+        return {
+            component.name: component.dump() for component in self.components
+        }
+
+    async def _drain(self) -> None:
+        self.draining = True
+        grace = self.settings['entry']['grace']
+        log.info('Stopping; at most %s ms for work in flight.', grace)
+        with self.clock.move_on_after(grace) as scope:
+            for component in reversed(self.components):
+                await component.drain()
+        if scope.cancelled_caught:
+            log.warning('The grace period ended with work in flight.')
+
+
+def load_families() -> None:
+    """Import every family, so that all plug-ins are registered."""
+    for family in FAMILIES:
+        plugin.load_family(f'{__package__}.{family}')
+    plugin.load_entry_points()
+
+
+def build(
+    settings: 'Settings',
+    clock: Clock,
+    members: Sequence[type[Component]],
+) -> Kernel:
+    """Return a kernel with one component of each class in *members*."""
+    kernel = Kernel(settings, clock)
+    for member in sorted(members, key=_stage_of):
+        kernel.add(member)
+    return kernel
+
+
+def _stage_of(component: type[Component]) -> int:
+    return component.stage
--- /dev/null
+++ b/cyclamenshift/peers/__init__.py
@@ -0,0 +1,6 @@
+"""
+cyclamenshift.peers
+===================
+
+The streams between entry VMs, found by name.
+"""
--- /dev/null
+++ b/cyclamenshift/platforms/__init__.py
@@ -0,0 +1,6 @@
+"""
+cyclamenshift.platforms
+=======================
+
+The clients of the platform, found by name.
+"""
--- /dev/null
+++ b/cyclamenshift/schema.py
@@ -0,0 +1,124 @@
+"""
+cyclamenshift.schema
+====================
+
+Checks merged documents against a TypedDict and names the line at fault.
+"""
+
+import re
+from collections.abc import Callable, Mapping
+from typing import Any, Final, TypeAlias, get_args, get_origin, get_type_hints
+from typing import is_typeddict as is_typed_dict
+
+import msgspec
+
+from .decisions.merging import Document, Path, nearest_source
+from .errors import SettingsError
+
+#: The values that a TypedDict takes where the document has none.
+Defaults: TypeAlias = Mapping[type, Mapping[str, Any]]
+
+#: What may stand as the name of a service, a pool, a VM or work.
+NAME_PATTERN: Final = re.compile('[a-z0-9][a-z0-9.-]{0,62}')
+
+
+def check(document: Document, hint: Any, defaults: Defaults) -> Any:
+    """
+    Return the values of *document* as a *hint*, defaults filled in.
+
+    Raises SettingsError with file, line and remedy at the first fault.
+    """
+    return _Checker(document, defaults).check_value((), document.values, hint)
+
+
+def fault(
+    document: Document,
+    path: Path,
+    problem: str,
+    remedy: str,
+) -> SettingsError:
+    """Return the error that says *problem* of the value at *path*."""
+    source = nearest_source(document, path)
+    dotted = '.'.join(path)
+    return SettingsError(f'{source}: {dotted}: {problem}.', remedy)
+
+
+class _Checker:
+    def __init__(self, document: Document, defaults: Defaults) -> None:
+        self.document = document
+        self.defaults = defaults
+
+    def check_value(self, path: Path, value: Any, hint: Any) -> Any:
+        if is_typed_dict(hint):
+            return self._check_fields(path, value, hint)
+        if get_origin(hint) is dict:
+            return self._check_entries(path, value, get_args(hint)[1])
+        try:
+            return msgspec.convert(value, hint)
+        except msgspec.ValidationError as error:
+            reason = str(error).lower()
+            raise self._fault(path, reason, 'Correct the value.') from error
+
+    def _check_fields(self, path: Path, value: Any, hint: Any) -> Any:
+        hints = get_type_hints(hint, include_extras=True)
+        value = self._mapping(path, value)
+        for key in value:
+            if key not in hints:
+                known = ', '.join(hints)
+                raise self._fault(
+                    (*path, key),
+                    'there is no such key',
+                    f'Use one of: {known}.',
+                )
+        return self._each(
+            path,
+            {**self.defaults.get(hint, {}), **value},
+            hints,
+        )
+
+    def _each(
+        self,
+        path: Path,
+        value: Mapping[str, Any],
+        hints: Mapping[str, Any],
+    ) -> dict[str, Any]:
+        checked = {}
+        for key, child_hint in hints.items():
+            if key not in value:
+                raise self._fault(path, f'{key} is missing', f'Add {key}.')
+            checked[key] = self.check_value(
+                (*path, key),
+                value[key],
+                child_hint,
+            )
+        return checked
+
+    def _check_entries(self, path: Path, value: Any, hint: Any) -> Any:
+        value = self._mapping(path, value)
+        for key in value:
+            if not NAME_PATTERN.fullmatch(key):
+                raise self._fault(
+                    (*path, key),
+                    'this name is not allowed',
+                    'Use lower-case letters, digits, dots and hyphens.',
+                )
+        return {
+            key: self.check_value((*path, key), child, hint)
+            for key, child in value.items()
+        }
+
+    def _mapping(self, path: Path, value: Any) -> Mapping[str, Any]:
+        if isinstance(value, dict):
+            return value
+        raise self._fault(
+            path,
+            'expected a mapping',
+            'Write "key: value" lines below it.',
+        )
+
+    @property
+    def _fault(self) -> Callable[[Path, str, str], SettingsError]:
+        def build(path: Path, problem: str, remedy: str) -> SettingsError:
+            return fault(self.document, path, problem, remedy)
+
+        return build
