--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,6 @@
+"""
+bench
+=====
+
+Measurements: each module prints its table when run with ``python -m``.
+"""
--- a/cyclamenshift/commands/config.py
+++ b/cyclamenshift/commands/config.py
@@ -11,12 +11,16 @@
 import uuid
 from typing import Any
 
-from .. import document, fleet
+from .. import fleet
 from ..command import EXIT_REFUSED, Command, Report, call
 from ..decisions.merging import Change, differences, nearest_source
 from ..plugin import register
 
 
+#: The line that shows one entry VM's configuration.
+STATUS_LINE = '{entry}: configuration {number}, read {view_age_ms} ms ago'
+
+
 class FolderCommand(Command):
     """A command on a folder of YAML files."""
 
@@ -81,7 +85,7 @@
         parser.add_argument(
             '--base',
             type=int,
-            help='the number in force that you saw; the present one if not given',
+            help='the number in force that you saw; default: the present one',
         )
 
     async def run(self, options: argparse.Namespace) -> Report:
@@ -160,12 +164,7 @@
             answers.append(await call(named, 'GET', '/v1/config/status'))
         return Report(
             answers,
-            tuple(
-                '{entry}: configuration {number}, read {view_age_ms} ms ago'.format(
-                    **answer
-                )
-                for answer in answers
-            ),
+            tuple(STATUS_LINE.format(**answer) for answer in answers),
         )
 
 
--- a/cyclamenshift/component.py
+++ b/cyclamenshift/component.py
@@ -23,6 +23,9 @@
     """
     A plug-in with a life: started by stage, drained in reverse.
 
+    A planned stop calls ``announce`` everywhere, then ``drain``; where the
+    grace period ends first, ``abandon``; then the tasks are cancelled.
+
     ``stage`` orders the start; a component may use those of lower stages.
     """
 
@@ -42,6 +45,12 @@
         task_status.started()
         await trio.sleep_forever()
 
+    async def announce(self) -> None:
+        """Tell whoever sends work here that this process is leaving."""
+
+    async def abandon(self) -> None:
+        """Settle at once what the grace period was too short for."""
+
     async def drain(self) -> None:
         """Accept nothing new; return when nothing is in flight."""
 
--- a/cyclamenshift/controls/configuration.py
+++ b/cyclamenshift/controls/configuration.py
@@ -7,7 +7,7 @@
 
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING, ClassVar, NamedTuple, cast
+from typing import TYPE_CHECKING, ClassVar, NamedTuple
 
 import msgspec
 import trio
@@ -19,11 +19,12 @@
 from ..decisions.acceptance import Accepted, FleetRows, accept
 from ..decisions.budget import Refused
 from ..errors import SettingsError
-from ..model import Vm, VmState
+from ..model import Vm
 from ..platform import (
     ABSENT,
     Check,
     Committed,
+    Conflict,
     Platform,
     Row,
     Transaction,
@@ -267,16 +268,18 @@
             ),
             writes=_writes(read.rows, accepted, head),
         )
-        for _attempt in range(SETTLE_LIMIT):
-            result = await self.platform.commit(transaction)
-            if isinstance(result, Committed):
-                return InForce(head['number'], head['digest'])
-            if isinstance(result, Unavailable):
-                return STORE_DOWN
-            if not isinstance(result, Uncertain):
-                return await self._lost_race(head)
+        result = await self.platform.commit(transaction)
+        tries = 1
+        while isinstance(result, Uncertain) and tries < SETTLE_LIMIT:
             await self.clock.sleep(SETTLE_DELAY_MS)
-        return UNSETTLED
+            result = await self.platform.commit(transaction)
+            tries += 1
+        if isinstance(result, Committed):
+            return InForce(head['number'], head['digest'])
+        if isinstance(result, Conflict):
+            return await self._lost_race(head)
+        first_try = tries == 1 and isinstance(result, Unavailable)
+        return STORE_DOWN if first_try else UNSETTLED
 
     async def _lost_race(self, head: HeadRow) -> InForce | Refused:
         rows = await self.platform.read([HEAD_KEY])
--- a/cyclamenshift/controls/dispatcher.py
+++ b/cyclamenshift/controls/dispatcher.py
@@ -7,7 +7,7 @@
 
 import random
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING, ClassVar, cast
+from typing import TYPE_CHECKING, ClassVar
 
 import trio
 
@@ -60,6 +60,7 @@
         self.endpoint = kernel.get(Endpoint)
         self.peer = kernel.get(Peer)
         self.queues: dict[str, PoolQueue] = {}
+        self.expected: dict[str, dict[str, int]] = {}
         self.run_times = limits.RunTimes()
         self.retry_budget = retries.RetryBudget()
         self.in_flight = 0
@@ -118,6 +119,7 @@
             for vm in self.configuration.vms.values()
             if vm.state is VmState.serving
         ]
+        self.expected = membership.slots_by_owner(serving, members)
         owned = membership.owned_by(
             self.membership.own.entry_id,
             serving,
@@ -125,7 +127,7 @@
         )
         for pool in {vm.pool for vm in serving} | self.queues.keys():
             queue = self.queue(pool)
-            queue.set_workers(
+            queue.replace_workers(
                 {vm_id: vm for vm_id, vm in owned.items() if vm.pool == pool}
             )
             self.pump(queue)
@@ -180,13 +182,24 @@
         now = self.clock.now()
         route = routing.choose(
             self.queue(pool).load(now),
-            self.peer.loads(pool),
+            self._remote_loads(pool),
             self.rng,
         )
         outcome = await self._follow(route, request)
         self.kernel.metrics.attempts.inc({'outcome': type(outcome).__name__})
         return outcome
 
+    def _remote_loads(self, pool: str) -> dict[str, Load]:
+        """Return the peers' loads; a busy one for an owner not heard yet."""
+        reachable = self.peer.reachable()
+        loads = {
+            entry_id: Load(pool, slots, free=0, queued=0)
+            for entry_id, slots in self.expected.get(pool, {}).items()
+            if entry_id in reachable
+        }
+        loads.update(self.peer.loads(pool))
+        return loads
+
     @singledispatchmethod
     async def _follow(self, route: routing.Route, request: Request) -> Outcome:
         raise NotImplementedError(type(route).__qualname__)
--- a/cyclamenshift/controls/ledger.py
+++ b/cyclamenshift/controls/ledger.py
@@ -5,7 +5,7 @@
 Writes claim rows, many in one transaction, until the result is certain.
 """
 
-from typing import TYPE_CHECKING, ClassVar, NamedTuple, cast
+from typing import TYPE_CHECKING, ClassVar, NamedTuple
 
 import trio
 
@@ -80,7 +80,9 @@
         """Start with nothing to write."""
         super().__init__(kernel)
         self.platform = kernel.get(Platform)
-        self.pending, self._entries = trio.open_memory_channel[Entry](BACKLOG)
+        channel = trio.open_memory_channel[Entry](BACKLOG)
+        self.pending = channel[0]
+        self._entries = channel[1]
         self.batches = 0
         self.rows_written = 0
         self.unsettled = 0
--- a/cyclamenshift/controls/membership.py
+++ b/cyclamenshift/controls/membership.py
@@ -6,7 +6,7 @@
 """
 
 import uuid
-from typing import TYPE_CHECKING, ClassVar, cast
+from typing import TYPE_CHECKING, ClassVar
 
 import trio
 
@@ -90,7 +90,7 @@
             self.changed.set()
             self.changed = trio.Event()
 
-    async def drain(self) -> None:
+    async def announce(self) -> None:
         """Take the registration away, if it is still this process's own."""
         if self.version == ABSENT:
             return
@@ -101,6 +101,7 @@
                 (Write(key, None),),
             ),
         )
+        self.version = ABSENT
 
     def dump(self) -> Dump:
         """Return this entry VM and the registered others."""
--- a/cyclamenshift/controls/pools.py
+++ b/cyclamenshift/controls/pools.py
@@ -9,7 +9,7 @@
 a step twice changes nothing.
 """
 
-from typing import TYPE_CHECKING, ClassVar, NamedTuple, cast
+from typing import TYPE_CHECKING, ClassVar, NamedTuple
 
 import trio
 
@@ -111,9 +111,10 @@
         in_force = self.configuration.in_force
         pools = in_force.fleet['pools'] if in_force else {}
         if target not in pools:
+            known = ', '.join(sorted(pools))
             return budget.Refused(
                 f'There is no pool {target!r}.',
-                f'Use one of: {", ".join(sorted(pools))}.',
+                f'Use one of: {known}.',
             )
         return await self.change(vm_id, VmState.leaving, target)
 
@@ -132,7 +133,8 @@
 
         A change that loses a race is decided anew on the new rows.
         """
-        for _attempt in range(RACE_LIMIT):
+        races = 0
+        while races < RACE_LIMIT:
             place = await self._read(vm_id)
             if isinstance(place, budget.Refused):
                 return place
@@ -143,6 +145,7 @@
             if not isinstance(result, Conflict):
                 await self.configuration.refresh()
                 return result
+            races += 1
         return budget.Refused(
             f'Other changes kept coming before that of {vm_id}.',
             'Try again.',
--- a/cyclamenshift/daemon.py
+++ b/cyclamenshift/daemon.py
@@ -10,35 +10,21 @@
 import pathlib
 import signal
 import sys
-import uuid
 from collections.abc import AsyncIterator, Sequence
 from typing import Final
 
 import trio
 
-from . import document, fleet, kernel, logs, plugin, settings
+from . import firstrun, kernel, logs, settings, startup
 from .clock import Clock
 from .component import Component
-from .control import Control
-from .controls.configuration import Configuration, InForce, Proposal
-from .endpoint import Endpoint
 from .errors import CyclamenshiftError
-from .frontend import Frontend
-from .peer import Peer
-from .platform import Platform
 
 #: The exit codes of the program.
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
 EXIT_USAGE: Final = 2
 
-#: The folder below the settings that holds the first configuration.
-FLEET_FOLDER: Final = 'fleet'
-#: The operator's name on a configuration applied at the first start.
-FIRST_OPERATOR: Final = 'first start'
-#: The wait before a first configuration is offered again, ms.
-OFFER_DELAY_MS: Final = 1_000
-
 log = logs.get_logger('daemon')
 
 
@@ -48,12 +34,18 @@
         prog='cyclamenshiftd',
         description='Run one entry VM.',
     )
-    parser.add_argument(
+    source = parser.add_mutually_exclusive_group(required=True)
+    source.add_argument(
         '--settings',
         type=pathlib.Path,
-        required=True,
         help='the folder of YAML files for this process',
     )
+    source.add_argument(
+        '--try',
+        action='store_true',
+        dest='first_run',
+        help='answer one request on the embedded default, then stop',
+    )
     parser.add_argument(
         '--check',
         action='store_true',
@@ -65,10 +57,12 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the program; return its exit code."""
     options = parse_arguments(arguments)
+    if options.first_run:
+        return trio.run(firstrun.answer_one)
     try:
         chosen = settings.load(options.settings)
-        first = load_first_fleet(options.settings)
-        members = choose_members(chosen)
+        first = startup.load_first_fleet(options.settings)
+        members = startup.choose_members(chosen)
     except CyclamenshiftError as error:
         return _fail(error, EXIT_USAGE)
     if options.check:
@@ -82,34 +76,6 @@
     return code
 
 
-def load_first_fleet(folder: pathlib.Path) -> dict[str, str] | None:
-    """
-    Return the checked files of the first configuration, None without.
-
-    Raises SettingsError when they are wrong.
-    """
-    fleet_folder = folder / FLEET_FOLDER
-    if not fleet_folder.is_dir():
-        return None
-    return fleet.check(document.read_folder(fleet_folder)).texts
-
-
-def choose_members(chosen: settings.Settings) -> list[type[Component]]:
-    """
-    Return the classes of the components that the settings name.
-
-    Raises PluginError for a name that no plug-in has.
-    """
-    kernel.load_families()
-    return [
-        plugin.find(Platform, chosen['platform']['plugin']),
-        plugin.find(Endpoint, chosen['endpoint']['plugin']),
-        plugin.find(Peer, chosen['peers']['plugin']),
-        *plugin.members(Control),
-        *plugin.members(Frontend),
-    ]
-
-
 async def serve(
     chosen: settings.Settings,
     members: Sequence[type[Component]],
@@ -126,24 +92,10 @@
             nursery.start_soon(_obey_signals, process, received)
             await nursery.start(_run_kernel, process, nursery.cancel_scope)
             if first:
-                await offer(process, first)
+                await startup.offer(process, first)
             await trio.sleep_forever()
 
 
-async def offer(process: kernel.Kernel, texts: dict[str, str]) -> None:
-    """Apply *texts* if the table has no configuration yet."""
-    configuration = process.get(Configuration)
-    while configuration.in_force is None:
-        proposal = Proposal(texts, 0, uuid.uuid4().hex, FIRST_OPERATOR)
-        result = await configuration.apply(proposal)
-        if isinstance(result, InForce):
-            log.info('Applied the first configuration.')
-            return
-        log.warning('The first configuration waits: %s', result.reason)
-        await process.clock.sleep(OFFER_DELAY_MS)
-        await configuration.refresh()
-
-
 async def _run_kernel(
     process: kernel.Kernel,
     scope: trio.CancelScope,
--- a/cyclamenshift/decisions/health.py
+++ b/cyclamenshift/decisions/health.py
@@ -47,7 +47,8 @@
     def forget_all_but(self, workers: Container[str]) -> None:
         """Drop what is known of workers that left."""
         for known in (self.rates, self.ejected):
-            for worker in [name for name in known if name not in workers]:
+            gone = tuple(name for name in known if name not in workers)
+            for worker in gone:
                 known.pop(worker)
 
     def _settle_probe(self, worker: str, now: int, *, failed: bool) -> None:
--- a/cyclamenshift/decisions/lanes.py
+++ b/cyclamenshift/decisions/lanes.py
@@ -53,7 +53,7 @@
         }
         self._last = 0
 
-    def set_workers(self, workers: Mapping[str, Vm]) -> None:
+    def replace_workers(self, workers: Mapping[str, Vm]) -> None:
         """Replace the owned workers; requests in flight stay counted."""
         self.workers = dict(workers)
         self.health.forget_all_but(self.workers)
--- a/cyclamenshift/decisions/membership.py
+++ b/cyclamenshift/decisions/membership.py
@@ -51,5 +51,18 @@
     return {vm.vm_id: vm for vm in vms if owner_of(vm, members) == entry_id}
 
 
+def slots_by_owner(
+    vms: Iterable[Vm],
+    members: Collection[EntryVm],
+) -> dict[str, dict[str, int]]:
+    """Return the slots that each entry VM owns, by pool and its id."""
+    slots: dict[str, dict[str, int]] = {}
+    for vm in vms:
+        owned = slots.setdefault(vm.pool, {})
+        owner = owner_of(vm, members)
+        owned[owner] = owned.get(owner, 0) + vm.slots
+    return slots
+
+
 def _weight(entry_id: str, vm_id: str) -> int:
     return xxhash.xxh64_intdigest(f'{entry_id}|{vm_id}'.encode())
--- a/cyclamenshift/frontend.py
+++ b/cyclamenshift/frontend.py
@@ -9,6 +9,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, ClassVar, cast
 
+import quart
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
@@ -22,6 +23,8 @@
     from .kernel import Kernel
     from .settings import ListenSettings
 
+#: How much longer than the grace period the server waits itself, ms.
+GRACE_MARGIN_MS = 5_000
 #: The media type of answers that report a problem.
 PROBLEM_TYPE = 'application/problem+json'
 
@@ -56,9 +59,8 @@
         config.accesslog = None
         config.errorlog = None
         config.include_server_header = False
-        config.graceful_timeout = (
-            self.kernel.settings['entry']['grace'] / SECOND_MS
-        )
+        grace = self.kernel.settings['entry']['grace']
+        config.graceful_timeout = (grace + GRACE_MARGIN_MS) / SECOND_MS
         try:
             await self._serve(config, task_status)
         except OSError as error:
@@ -68,6 +70,10 @@
             ) from error
 
     async def drain(self) -> None:
+        """Return when the last request has ended."""
+        await self.close()
+
+    async def close(self) -> None:
         """Accept no connection; return when the last request has ended."""
         self._closing.set()
         await self._closed.wait()
@@ -93,6 +99,12 @@
             task_status.started()
 
 
+async def read_body() -> bytes:
+    """Return the whole body of the present request."""
+    received = await quart.request.get_data(as_text=False)
+    return cast(bytes, received)
+
+
 async def _told_when_ended(
     server: Callable[..., Awaitable[None]],
     ended: trio.Event,
--- a/cyclamenshift/frontends/callers.py
+++ b/cyclamenshift/frontends/callers.py
@@ -24,8 +24,8 @@
 from ..controls.dispatcher import Dispatcher
 from ..decisions import claims as claim_rules
 from ..fleet import ServiceFields
-from ..frontend import Frontend
-from ..model import NotRun, Outcome, Reason, Request
+from ..frontend import Frontend, read_body
+from ..model import NotRun, Outcome, Reason, Request, Unknown
 from ..platform import Unavailable
 from ..plugin import register
 from .answers import OUTCOME, answer, problem, respond
@@ -38,6 +38,13 @@
 #: The kind of work of a request that names none.
 DEFAULT_WORK: Final = 'default'
 
+#: How long the last answers may take to go out, ms.
+ABANDON_MS: Final = 1_000
+
+STOPPED = Unknown(
+    Reason.stopping,
+    'Ask another entry VM for the outcome by the idempotency key.',
+)
 KEY_MISSING = NotRun(
     Reason.key_missing,
     f'Send an Idempotency-Key of at most {KEY_LIMIT} characters; '
@@ -58,14 +65,15 @@
         self.configuration = kernel.get(Configuration)
         self.claims = kernel.get(Claims)
         self.dispatcher = kernel.get(Dispatcher)
+        self.scopes: set[trio.CancelScope] = set()
         self.app.config['MAX_CONTENT_LENGTH'] = self.settings['body_limit']
         self.app.config['BODY_TIMEOUT'] = (
             self.settings['read_timeout'] / SECOND_MS
         )
         self.app.post('/v1/services/<service>/requests')(self.post_request)
-        self.app.get('/v1/requests/<key>')(self.get_request)
-        self.app.get('/healthz')(self.get_health)
-        self.app.get('/readyz')(self.get_readiness)
+        self.app.get('/v1/requests/<key>')(self.show_outcome)
+        self.app.get('/healthz')(self.show_health)
+        self.app.get('/readyz')(self.show_readiness)
         self.app.register_error_handler(HTTPException, _http_error)
         self.app.after_request(self._close_when_draining)
 
@@ -84,17 +92,30 @@
         sent here a moment ago gets its answer.
         """
         await self.clock.sleep(self.settings['leaving_notice'])
-        await super().drain()
+        await self.close()
+
+    async def abandon(self) -> None:
+        """Answer what is still in flight with unknown."""
+        for scope in tuple(self.scopes):
+            scope.cancel()
+        with self.clock.move_on_after(ABANDON_MS):
+            await self.close()
 
     async def post_request(self, service: str) -> Response:
         """Take one request to its outcome."""
         request_id = uuid.uuid4().hex
-        outcome = await self._outcome(service, request_id)
+        outcome: Outcome = STOPPED
+        with trio.CancelScope() as scope:
+            self.scopes.add(scope)
+            try:
+                outcome = await self._outcome(service, request_id)
+            finally:
+                self.scopes.discard(scope)
         name = type(outcome).__name__
         self.kernel.metrics.outcomes.inc({'outcome': name})
         return answer(outcome, request_id)
 
-    async def get_request(self, key: str) -> Response:
+    async def show_outcome(self, key: str) -> Response:
         """Tell what became of the request with this idempotency key."""
         row = await self.claims.look_up(key)
         if isinstance(row, Unavailable):
@@ -111,11 +132,11 @@
             )
         return answer(claim_rules.recorded(row), row['request_id'])
 
-    async def get_health(self) -> Response:
+    async def show_health(self) -> Response:
         """Say that the process runs."""
         return Response('ok\n')
 
-    async def get_readiness(self) -> Response:
+    async def show_readiness(self) -> Response:
         """Say whether the balancer should send callers here."""
         if self.kernel.draining:
             return problem(
@@ -142,7 +163,7 @@
         timeout = self._timeout()
         if isinstance(timeout, NotRun):
             return timeout
-        body = await quart.request.get_data(cache=False, as_text=False)
+        body = await read_body()
         request = _build(service, fields, request_id, started + timeout, body)
         if isinstance(request, NotRun):
             return request
--- a/cyclamenshift/frontends/operators.py
+++ b/cyclamenshift/frontends/operators.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING, Any, TypedDict, TypeVar
 
 import msgspec
-import quart
 import trio
 from quart import Response
 
@@ -18,7 +17,7 @@
 from ..controls.pools import Changed, Pools
 from ..decisions.budget import Refused
 from ..errors import SettingsError
-from ..frontend import Frontend
+from ..frontend import Frontend, read_body
 from ..metrics import TEXT_FORMAT
 from ..platform import Platform, Unavailable
 from ..plugin import register
@@ -58,13 +57,13 @@
         self.settings = kernel.settings['operators']
         self.configuration = kernel.get(Configuration)
         self.pools = kernel.get(Pools)
-        self.app.get('/metrics')(self.get_metrics)
-        self.app.get('/v1/dump')(self.get_dump)
-        self.app.get('/v1/config')(self.get_config)
+        self.app.get('/metrics')(self.show_metrics)
+        self.app.get('/v1/dump')(self.show_dump)
+        self.app.get('/v1/config')(self.show_config)
         self.app.put('/v1/config')(self.put_config)
-        self.app.get('/v1/config/status')(self.get_config_status)
-        self.app.get('/v1/pools')(self.get_pools)
-        self.app.get('/v1/vms')(self.get_vms)
+        self.app.get('/v1/config/status')(self.show_config_status)
+        self.app.get('/v1/pools')(self.show_pools)
+        self.app.get('/v1/vms')(self.show_vms)
         self.app.post('/v1/vms/<vm_id>/drain')(self.post_drain)
         self.app.post('/v1/vms/<vm_id>/move')(self.post_move)
         self.app.post('/v1/vms/<vm_id>/return')(self.post_return)
@@ -80,18 +79,18 @@
         """Serve operators."""
         await self.listen(self.settings, task_status)
 
-    async def get_metrics(self) -> Response:
+    async def show_metrics(self) -> Response:
         """Return the metrics as Prometheus text."""
         return Response(
             self.kernel.metrics.render(),
             content_type=TEXT_FORMAT,
         )
 
-    async def get_dump(self) -> Response:
+    async def show_dump(self) -> Response:
         """Return the state of every component of this process."""
         return _json(self.kernel.dump())
 
-    async def get_config(self) -> Response:
+    async def show_config(self) -> Response:
         """Return the files of the configuration in force."""
         in_force = self.configuration.in_force
         return _json(
@@ -114,7 +113,7 @@
             )
         return self._show(result)
 
-    async def get_config_status(self) -> Response:
+    async def show_config_status(self) -> Response:
         """Return the number in force here and how fresh the view is."""
         return _json(
             {
@@ -127,7 +126,7 @@
             }
         )
 
-    async def get_pools(self) -> Response:
+    async def show_pools(self) -> Response:
         """Return the budget of each service, as the table has it now."""
         rows = await self.kernel.get(Platform).scan(BUDGET_PREFIX)
         if isinstance(rows, Unavailable):
@@ -143,7 +142,7 @@
             }
         )
 
-    async def get_vms(self) -> Response:
+    async def show_vms(self) -> Response:
         """Return the row of each VM, as this entry VM knows it."""
         await self.configuration.refresh()
         return _json(self.configuration.vm_rows)
@@ -186,7 +185,7 @@
 
 
 async def _body(shape: type[ShapeType]) -> ShapeType:
-    return msgspec.json.decode(await quart.request.get_data(), type=shape)
+    return msgspec.json.decode(await read_body(), type=shape)
 
 
 async def _wrong_body(error: msgspec.MsgspecError) -> Response:
--- a/cyclamenshift/kernel.py
+++ b/cyclamenshift/kernel.py
@@ -41,6 +41,7 @@
         self.metrics = Metrics()
         self.components: list[Component] = []
         self.stop_asked = trio.Event()
+        self.hurry_asked = trio.Event()
         self.draining = False
 
     def add(self, member: type[Component]) -> None:
@@ -55,7 +56,9 @@
         raise LookupError(base.__qualname__)
 
     def stop(self) -> None:
-        """Ask for the graceful stop; asking twice does no harm."""
+        """Ask for the graceful stop; asked again, end the grace period."""
+        if self.stop_asked.is_set():
+            self.hurry_asked.set()
         self.stop_asked.set()
 
     async def run(
@@ -84,10 +87,24 @@
         grace = self.settings['entry']['grace']
         log.info('Stopping; at most %s ms for work in flight.', grace)
         with self.clock.move_on_after(grace) as scope:
-            for component in reversed(self.components):
-                await component.drain()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._cancel_when_hurried, scope)
+                await self._drain_components()
+                nursery.cancel_scope.cancel()
         if scope.cancelled_caught:
             log.warning('The grace period ended with work in flight.')
+            for component in reversed(self.components):
+                await component.abandon()
+
+    async def _drain_components(self) -> None:
+        for announcing in self.components:
+            await announcing.announce()
+        for component in reversed(self.components):
+            await component.drain()
+
+    async def _cancel_when_hurried(self, scope: trio.CancelScope) -> None:
+        await self.hurry_asked.wait()
+        scope.cancel()
 
 
 def load_families() -> None:
--- a/cyclamenshift/peer.py
+++ b/cyclamenshift/peer.py
@@ -85,9 +85,13 @@
     """The sender stops; it takes no more forwards."""
 
 
+class LeavingSeen(NamedTuple):
+    """The sender forwards nothing more on this connection."""
+
+
 Answer: TypeAlias = AnswerDone | AnswerNotRun | AnswerUnknown
 Message: TypeAlias = (
-    Greeting | Heartbeat | Forward | Answer | Withdraw | Leaving
+    Greeting | Heartbeat | Forward | Answer | Withdraw | Leaving | LeavingSeen
 )
 
 
--- a/cyclamenshift/peers/connection.py
+++ b/cyclamenshift/peers/connection.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Self
 
 import trio
+from trio.abc import Stream
 
 from ..clock import SECOND_MS, Clock
 from ..errors import ProtocolError
@@ -49,7 +50,7 @@
 
     def __init__(
         self,
-        stream: trio.SocketStream,
+        stream: Stream,
         clock: Clock,
         settings: 'PeerSettings',
     ) -> None:
--- a/cyclamenshift/peers/frames.py
+++ b/cyclamenshift/peers/frames.py
@@ -22,6 +22,7 @@
     Greeting,
     Heartbeat,
     Leaving,
+    LeavingSeen,
     Message,
     Withdraw,
 )
@@ -36,6 +37,7 @@
     AnswerUnknown: 6,
     Withdraw: 7,
     Leaving: 8,
+    LeavingSeen: 9,
 }
 
 _TYPES = {tag: shape for shape, tag in TAGS.items()}
@@ -54,7 +56,7 @@
         """Refuse frames of more than *frame_limit* bytes."""
         self.unpacker = msgpack.Unpacker(max_buffer_size=frame_limit)
 
-    def feed(self, received: bytes) -> Iterator[Message]:
+    def feed(self, received: bytes | bytearray) -> Iterator[Message]:
         """
         Yield the messages that *received* completes.
 
--- a/cyclamenshift/schema.py
+++ b/cyclamenshift/schema.py
@@ -6,7 +6,7 @@
 """
 
 import re
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any, Final, TypeAlias, get_args, get_origin, get_type_hints
 from typing import is_typeddict as is_typed_dict
 
@@ -116,9 +116,5 @@
             'Write "key: value" lines below it.',
         )
 
-    @property
-    def _fault(self) -> Callable[[Path, str, str], SettingsError]:
-        def build(path: Path, problem: str, remedy: str) -> SettingsError:
-            return fault(self.document, path, problem, remedy)
-
-        return build
+    def _fault(self, path: Path, problem: str, remedy: str) -> SettingsError:
+        return fault(self.document, path, problem, remedy)
--- a/cyclamenshift/settings.py
+++ b/cyclamenshift/settings.py
@@ -12,7 +12,6 @@
 
 from . import document, schema
 from .decisions.merging import Document, merge
-from .errors import SettingsError
 
 #: A TCP port; 0 lets the system choose one.
 Port: TypeAlias = Annotated[int, Meta(ge=0, le=65535)]
@@ -151,9 +150,10 @@
     settings = cast(Settings, schema.check(merged, Settings, {}))
     platform = settings['platform']
     if platform['plugin'] == 'http' and not platform['address']:
-        raise SettingsError(
-            f'{given.sources.get(("platform", "plugin"))}: '
-            'platform.address is missing.',
+        raise schema.fault(
+            merged,
+            ('platform', 'plugin'),
+            'the http plug-in needs platform.address',
             'Add the URL of the platform.',
         )
     return settings
--- /dev/null
+++ b/cyclamenshift/startup.py
@@ -0,0 +1,70 @@
+"""
+cyclamenshift.startup
+=====================
+
+Chooses the components of a process, and offers the first configuration.
+"""
+
+import pathlib
+import uuid
+from typing import Final
+
+from . import document, fleet, kernel, logs, plugin, settings
+from .component import Component
+from .control import Control
+from .controls.configuration import Configuration, InForce, Proposal
+from .endpoint import Endpoint
+from .frontend import Frontend
+from .peer import Peer
+from .platform import Platform
+
+#: The folder below the settings that holds the first configuration.
+FLEET_FOLDER: Final = 'fleet'
+#: The operator's name on a configuration applied at the first start.
+FIRST_OPERATOR: Final = 'first start'
+#: The wait before a first configuration is offered again, ms.
+OFFER_DELAY_MS: Final = 1_000
+
+log = logs.get_logger('startup')
+
+
+def load_first_fleet(folder: pathlib.Path) -> dict[str, str] | None:
+    """
+    Return the checked files of the first configuration, None without.
+
+    Raises SettingsError when they are wrong.
+    """
+    fleet_folder = folder / FLEET_FOLDER
+    if not fleet_folder.is_dir():
+        return None
+    return fleet.check(document.read_folder(fleet_folder)).texts
+
+
+def choose_members(chosen: settings.Settings) -> list[type[Component]]:
+    """
+    Return the classes of the components that the settings name.
+
+    Raises PluginError for a name that no plug-in has.
+    """
+    kernel.load_families()
+    return [
+        plugin.find(Platform, chosen['platform']['plugin']),
+        plugin.find(Endpoint, chosen['endpoint']['plugin']),
+        plugin.find(Peer, chosen['peers']['plugin']),
+        *plugin.members(Control),
+        *plugin.members(Frontend),
+    ]
+
+
+async def offer(process: kernel.Kernel, texts: dict[str, str]) -> None:
+    """Apply *texts* if the table has no configuration yet."""
+    configuration = process.get(Configuration)
+    while configuration.in_force is None:
+        proposal = Proposal(texts, 0, uuid.uuid4().hex, FIRST_OPERATOR)
+        result = await configuration.apply(proposal)
+        if isinstance(result, InForce):
+            log.info('Applied the first configuration.')
+            return
+        log.warning('The first configuration waits: %s', result.reason)
+        await process.clock.sleep(OFFER_DELAY_MS)
+        await configuration.refresh()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,6 @@
+"""
+tests
+=====
+
+The tests of the package.
+"""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,169 @@
+"""
+tests.builders
+==============
+
+Builders of test data: each gives a valid whole, changed by what is named.
+"""
+
+import json
+from typing import Any, cast
+
+from cyclamenshift import settings
+from cyclamenshift.decisions.merging import Document
+from cyclamenshift.model import EntryVm, Load, Request, Vm, VmState
+from cyclamenshift.rows import BudgetRow, ClaimRow, VmRow
+
+#: The wall time at which virtual time starts, ms since the epoch.
+WALL_START = 1_800_000_000_000
+
+
+def vm(vm_id: str = 'desk-1', **changes: Any) -> Vm:
+    """Return a serving VM."""
+    values: dict[str, Any] = {
+        'vm_id': vm_id,
+        'pool': 'desk',
+        'state': VmState.serving,
+        'epoch': 1,
+        'data_centre': 'dc-1',
+        'rack': 'rack-1',
+        'address': f'memory://{vm_id}',
+        'slots': 8,
+    }
+    return Vm(**(values | changes))
+
+
+def entry_vm(entry_id: str = 'entry-1', **changes: Any) -> EntryVm:
+    """Return an entry VM."""
+    values: dict[str, Any] = {
+        'entry_id': entry_id,
+        'data_centre': 'dc-1',
+        'host': '127.0.0.1',
+        'port': 1,
+        'incarnation': f'{entry_id}-first',
+    }
+    return EntryVm(**(values | changes))
+
+
+def load(**changes: Any) -> Load:
+    """Return the load of an idle pool with one worker."""
+    values: dict[str, Any] = {
+        'pool': 'desk',
+        'slots': 8,
+        'free': 8,
+        'queued': 0,
+    }
+    return Load(**(values | changes))
+
+
+def request(request_id: str = 'request-1', **changes: Any) -> Request:
+    """Return a repeatable request with a second to go from time 0."""
+    values: dict[str, Any] = {
+        'request_id': request_id,
+        'service': 'desk',
+        'work': 'look-up',
+        'body': b'body',
+        'content_type': 'text/plain',
+        'deadline': 1_000,
+        'repeatable': True,
+        'key': '',
+    }
+    return Request(**(values | changes))
+
+
+def booking(key: str = 'key-1', **changes: Any) -> Request:
+    """Return a request that may not be repeated."""
+    values: dict[str, Any] = {
+        'work': 'booking',
+        'repeatable': False,
+        'key': key,
+    }
+    return request(**(values | changes))
+
+
+def vm_row(**changes: Any) -> VmRow:
+    """Return the row of a serving VM."""
+    values: dict[str, Any] = {
+        'pool': 'desk',
+        'state': VmState.serving,
+        'epoch': 1,
+        'target': '',
+    }
+    return cast(VmRow, values | changes)
+
+
+def budget_row(**changes: Any) -> BudgetRow:
+    """Return the budget of a service with four VMs and a floor of three."""
+    values: dict[str, Any] = {
+        'pool': 'desk',
+        'members': 4,
+        'unavailable': 0,
+        'floor': 3,
+    }
+    return cast(BudgetRow, values | changes)
+
+
+def claim_row(**changes: Any) -> ClaimRow:
+    """Return a claim that was just made."""
+    values: dict[str, Any] = {
+        'attempt': 'attempt-1',
+        'request_id': 'request-1',
+        'digest': 'digest-1',
+        'state': 'claimed',
+        'status': 0,
+        'content_type': '',
+        'body': '',
+        'object': '',
+        'expires': WALL_START,
+    }
+    return cast(ClaimRow, values | changes)
+
+
+def fleet_texts(
+    pools: dict[str, int] | None = None,
+    **changes: Any,
+) -> dict[str, str]:
+    """
+    Return the files of a fleet with one service for each pool.
+
+    *pools* gives the number of VMs by pool; *changes* are top-level keys
+    of a later file.  JSON is YAML, so the files are JSON.
+    """
+    pools = pools or {'desk': 4, 'spare': 4}
+    fleet: dict[str, Any] = {'pools': {}, 'services': {}, 'vms': {}}
+    for pool, count in pools.items():
+        fleet['pools'][pool] = {'spare': pool == 'spare'}
+        fleet['services'][pool] = {
+            'pool': pool,
+            'work': {
+                'look-up': {'repeatable': True},
+                'booking': {},
+                'report': {'repeatable': True, 'long': True},
+            },
+        }
+        for number in range(1, count + 1):
+            vm_id = f'{pool}-{number}'
+            data_centre = f'dc-{number % 2 + 1}'
+            fleet['vms'][vm_id] = {
+                'pool': pool,
+                'data_centre': data_centre,
+                'rack': f'{data_centre}-rack',
+                'address': f'memory://{vm_id}',
+            }
+    texts = {'10-fleet.yaml': json.dumps(fleet, indent=1)}
+    if changes:
+        texts['20-changes.yaml'] = json.dumps(changes, indent=1)
+    return texts
+
+
+def entry_settings(
+    entry_id: str = 'entry-1',
+    **changes: dict[str, Any],
+) -> settings.Settings:
+    """Return the settings of an entry VM; *changes* are by section."""
+    values: dict[str, Any] = {
+        'entry': {'id': entry_id, 'data_centre': 'dc-1'},
+        'callers': {'leaving_notice': 0},
+    }
+    for section, section_changes in changes.items():
+        values[section] = values.get(section, {}) | section_changes
+    return settings.check(Document(values, {}))
--- /dev/null
+++ b/tests/standins/fakes.py
@@ -0,0 +1,386 @@
+"""
+tests.standins.fakes
+====================
+
+Fakes at the interfaces, for several entry VMs in one trio run.
+
+They follow virtual time and fail by a script: the platform client loses
+or refuses the calls that the script names, the network cuts or silences
+streams, and the workers keep a ledger of what they ran.
+"""
+
+from collections import Counter
+from collections.abc import Awaitable, Callable, Sequence
+from typing import NamedTuple, TypeVar
+
+import trio
+from trio.abc import Stream
+from trio.testing import (
+    MemoryReceiveStream,
+    MemorySendStream,
+    memory_stream_pair,
+)
+
+from cyclamenshift import kernel, plugin, startup
+from cyclamenshift.clock import Clock
+from cyclamenshift.component import Component
+from cyclamenshift.control import Control
+from cyclamenshift.controls.claims import Claims
+from cyclamenshift.controls.configuration import Configuration
+from cyclamenshift.controls.dispatcher import Dispatcher
+from cyclamenshift.controls.pools import Pools
+from cyclamenshift.endpoint import Endpoint
+from cyclamenshift.frontends.callers import CallerFrontend
+from cyclamenshift.model import (
+    Done,
+    EntryVm,
+    NotRun,
+    Outcome,
+    Reason,
+    Request,
+    Unknown,
+    Vm,
+)
+from cyclamenshift.peers.stream import StreamPeer
+from cyclamenshift.platform import (
+    CommitResult,
+    ListedVm,
+    Platform,
+    Row,
+    Transaction,
+    Unavailable,
+    Uncertain,
+)
+from cyclamenshift.table import Table
+
+from ..builders import WALL_START, entry_settings, fleet_texts
+
+MemoryStream = trio.StapledStream[MemorySendStream, MemoryReceiveStream]
+ReadType = TypeVar('ReadType')
+
+#: How long a lost answer of the platform is waited for, ms.
+LOST_WAIT_MS = 2_000
+#: How long one call of the platform takes, ms.
+STORE_CALL_MS = 3
+#: How long a worker runs a request that does not say, ms.
+RUN_MS = 10
+#: How long a message takes from one entry VM to another, ms.
+HOP_MS = 2
+
+
+class Store:
+    """The platform behind every client: its rows, and how it fails."""
+
+    def __init__(self) -> None:
+        """Start empty and up."""
+        self.table = Table()
+        self.objects: dict[str, bytes] = {}
+        self.listed: list[ListedVm] = []
+        self.down = False
+        self.lose_answers = 0
+        self.delay = STORE_CALL_MS
+        self.cut_off: set[str] = set()
+
+
+class FakePlatform(Platform):
+    """A client of the store that all entry VMs share."""
+
+    name = 'fake'
+    store: Store
+
+    async def read(self, keys: Sequence[str]) -> list[Row] | Unavailable:
+        """Return one row for each key."""
+        return await self._guard(lambda: self.store.table.read(keys))
+
+    async def scan(self, prefix: str) -> list[Row] | Unavailable:
+        """Return the rows whose keys start with *prefix*."""
+        return await self._guard(lambda: self.store.table.scan(prefix))
+
+    async def commit(self, transaction: Transaction) -> CommitResult:
+        """Apply *transaction*; its answer may be lost by the script."""
+        await self.clock.sleep(self.store.delay)
+        if self._unreachable():
+            return Unavailable('down')
+        result = self.store.table.commit(transaction)
+        if self.store.lose_answers:
+            self.store.lose_answers -= 1
+            await self.clock.sleep(LOST_WAIT_MS)
+            return Uncertain('lost')
+        return result
+
+    async def put_object(self, name: str, body: bytes) -> bool:
+        """Store *body*."""
+        await self.clock.sleep(self.store.delay)
+        if self._unreachable():
+            return False
+        self.store.objects[name] = body
+        return True
+
+    async def get_object(self, name: str) -> bytes | Unavailable:
+        """Return the object."""
+        return await self._guard(lambda: self.store.objects[name])
+
+    async def list_vms(self) -> list[ListedVm] | Unavailable:
+        """Return the listed VMs."""
+        return await self._guard(lambda: list(self.store.listed))
+
+    async def _guard(
+        self,
+        reader: Callable[[], ReadType],
+    ) -> ReadType | Unavailable:
+        await self.clock.sleep(self.store.delay)
+        return Unavailable('down') if self._unreachable() else reader()
+
+    def _unreachable(self) -> bool:
+        entry_id = self.kernel.settings['entry']['id']
+        return self.store.down or entry_id in self.store.cut_off
+
+
+class Run(NamedTuple):
+    """One run of a request at a worker."""
+
+    worker: str
+    request_id: str
+    key: str
+    work: str
+
+
+class Workers:
+    """The workers behind every endpoint client, and their ledger."""
+
+    def __init__(self) -> None:
+        """Start with healthy, idle workers."""
+        self.ledger: list[Run] = []
+        self.running: Counter[str] = Counter()
+        self.run_ms: dict[str, int] = {}
+        self.modes: dict[str, str] = {}
+        self.refusals = 0
+
+    def runs_of(self, key: str) -> int:
+        """Return how often the work with this idempotency key ran."""
+        return sum(1 for run in self.ledger if run.key == key)
+
+
+class FakeEndpoint(Endpoint):
+    """Runs requests at the shared workers."""
+
+    name = 'fake'
+    workers: Workers
+
+    async def send(self, worker: Vm, request: Request) -> Outcome:
+        """Run *request* as the mode of *worker* says."""
+        remaining = self.clock.remaining(request.deadline)
+        outcome: Outcome = Unknown(Reason.deadline, 'ask')
+        with self.clock.move_on_after(remaining):
+            outcome = await self._run(worker, request)
+        return outcome
+
+    async def running(self, worker: Vm) -> int | Unavailable:
+        """Return how many requests *worker* runs."""
+        return self.workers.running[worker.vm_id]
+
+    async def _run(self, worker: Vm, request: Request) -> Outcome:
+        workers = self.workers
+        mode = workers.modes.get(worker.vm_id, 'ok')
+        if mode == 'gone':
+            return NotRun(Reason.unreachable, 'try again')
+        if mode == 'fail':
+            return Done(500, '', b'failed')
+        if workers.running[worker.vm_id] >= worker.slots:
+            workers.refusals += 1
+            return NotRun(Reason.refused, 'try again')
+        workers.ledger.append(
+            Run(
+                worker.vm_id,
+                request.request_id,
+                request.key,
+                request.work,
+            ),
+        )
+        workers.running[worker.vm_id] += 1
+        try:
+            await self.clock.sleep(workers.run_ms.get(request.work, RUN_MS))
+        finally:
+            workers.running[worker.vm_id] -= 1
+        if mode == 'silent':
+            await trio.sleep_forever()
+        if mode == 'lost':
+            return Unknown(Reason.answer_lost, 'ask')
+        return Done(200, request.content_type, request.body)
+
+
+class Network:
+    """Connects the entry VMs of one trio run, and can cut them apart."""
+
+    def __init__(self) -> None:
+        """Start whole."""
+        self.peers: dict[str, 'FakePeer'] = {}
+        self.silenced: set[str] = set()
+        self.cut: set[str] = set()
+
+    def silent(self, entry_id: str) -> bool:
+        """Return whether the open connections of *entry_id* are lost."""
+        return entry_id in self.silenced
+
+
+class FakePeer(StreamPeer):
+    """Peer streams in memory; everything above the stream is real."""
+
+    name = 'fake'
+    network: Network
+
+    async def listen(self, nursery: trio.Nursery) -> None:
+        """Let the others reach this entry VM through the network."""
+        self.nursery = nursery
+        self.network.peers[self.membership.own.entry_id] = self
+
+    async def open_stream(self, entry: EntryVm) -> Stream:
+        """Return a stream to *entry*; raises OSError when it is cut off."""
+        await self.clock.sleep(HOP_MS)
+        target = self.network.peers.get(entry.entry_id)
+        ends = {entry.entry_id, self.membership.own.entry_id}
+        if target is None or ends & self.network.cut:
+            raise OSError('no route')
+        near, far = memory_stream_pair()
+        self._delay(near, target)
+        self._delay(far, target)
+        target.nursery.start_soon(target.accept, far)
+        return near
+
+    def _delay(self, stream: MemoryStream, target: 'FakePeer') -> None:
+        pump = stream.send_stream.send_all_hook
+        network = self.network
+        ends = {
+            target.membership.own.entry_id,
+            self.membership.own.entry_id,
+        }
+        opened_silenced = ends & network.silenced
+
+        async def deliver() -> None:
+            await self.clock.sleep(HOP_MS)
+            if ends & network.cut:
+                raise trio.BrokenResourceError
+            if ends & network.silenced - opened_silenced:
+                return
+            if pump is not None:
+                await pump()
+
+        stream.send_stream.send_all_hook = deliver
+
+
+class Entry(NamedTuple):
+    """One entry VM of a cluster, with the components that tests use."""
+
+    kernel: kernel.Kernel
+    callers: CallerFrontend
+    claims: Claims
+    configuration: Configuration
+    dispatcher: Dispatcher
+    pools: Pools
+    scope: trio.CancelScope
+
+
+class Cluster:
+    """Several entry VMs over one store, one network and one set of workers."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        """Start without an entry VM."""
+        self.nursery = nursery
+        self.store = Store()
+        self.workers = Workers()
+        self.network = Network()
+        self.entries: dict[str, Entry] = {}
+
+    async def start(self, entry_id: str, **changes: dict[str, object]) -> Entry:
+        """Start one entry VM and return it when it has started."""
+        kernel.load_families()
+        process = kernel.build(
+            entry_settings(entry_id, **changes),
+            Clock(WALL_START),
+            self._members(),
+        )
+        scope = trio.CancelScope()
+        await self.nursery.start(_run_in, scope, process.run)
+        entry = Entry(
+            process,
+            process.get(CallerFrontend),
+            process.get(Claims),
+            process.get(Configuration),
+            process.get(Dispatcher),
+            process.get(Pools),
+            scope,
+        )
+        self.entries[entry_id] = entry
+        return entry
+
+    async def start_all(
+        self,
+        count: int,
+        pools: dict[str, int] | None = None,
+    ) -> list[Entry]:
+        """Start *count* entry VMs with a fleet, and let them meet."""
+        entries = [
+            await self.start(f'entry-{number}')
+            for number in range(1, count + 1)
+        ]
+        await startup.offer(entries[0].kernel, fleet_texts(pools))
+        await self.until(lambda: self.settled(count))
+        return entries
+
+    def settled(self, count: int) -> bool:
+        """Return whether all know the fleet and each other."""
+        return all(
+            entry.configuration.in_force
+            and len(entry.dispatcher.peer.reachable()) == count - 1
+            for entry in self.entries.values()
+        )
+
+    async def until(self, condition: Callable[[], object]) -> None:
+        """Let virtual time pass until *condition* holds."""
+        with trio.fail_after(600):
+            while not condition():
+                await trio.sleep(0.01)
+
+    def kill(self, entry_id: str) -> None:
+        """End an entry VM at once, as if its machine were gone."""
+        self.network.peers.pop(entry_id, None)
+        self.entries.pop(entry_id).scope.cancel()
+
+    def _members(self) -> list[type[Component]]:
+        cluster = self
+
+        class BoundPlatform(FakePlatform):
+            store = cluster.store
+
+        class BoundEndpoint(FakeEndpoint):
+            workers = cluster.workers
+
+        class BoundPeer(FakePeer):
+            network = cluster.network
+
+        class BoundCallers(CallerFrontend):
+            async def run(
+                self,
+                task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+            ) -> None:
+                await Component.run(self, task_status)
+
+            async def drain(self) -> None:
+                """Close at once; nothing listens."""
+
+        return [
+            BoundPlatform,
+            BoundEndpoint,
+            BoundPeer,
+            BoundCallers,
+            *plugin.members(Control),
+        ]
+
+
+async def _run_in(
+    scope: trio.CancelScope,
+    run: Callable[..., Awaitable[None]],
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    with scope:
+        await run(task_status)
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,65 @@
+"""
+tests.test_path
+===============
+
+Requests over the whole path, on virtual time.
+"""
+
+from cyclamenshift.model import Done, NotRun, Reason
+
+from .builders import booking, request
+from .standins.fakes import Cluster
+
+
+async def test_request_is_answered(cluster: Cluster) -> None:
+    """One entry VM, one request, one whole answer."""
+    (entry,) = await cluster.start_all(1)
+    now = entry.kernel.clock.now()
+    outcome = await entry.dispatcher.handle(request(deadline=now + 1_000))
+    assert outcome == Done(200, 'text/plain', b'body')
+
+
+async def test_request_is_forwarded_to_the_owner(cluster: Cluster) -> None:
+    """An entry VM without workers of its own sends to one that has."""
+    entries = await cluster.start_all(4, {'desk': 1})
+    for entry in entries:
+        now = entry.kernel.clock.now()
+        outcome = await entry.dispatcher.handle(request(deadline=now + 1_000))
+        assert outcome == Done(200, 'text/plain', b'body')
+    assert {run.worker for run in cluster.workers.ledger} == {'desk-1'}
+    assert cluster.workers.refusals == 0
+
+
+async def test_every_worker_has_one_owner(cluster: Cluster) -> None:
+    """Each worker is in the queue of just one entry VM."""
+    entries = await cluster.start_all(4)
+    owned = [
+        vm_id
+        for entry in entries
+        for queue in entry.dispatcher.queues.values()
+        for vm_id in queue.workers
+    ]
+    assert sorted(owned) == sorted(entries[0].configuration.vms)
+
+
+async def test_service_that_is_not_there(cluster: Cluster) -> None:
+    """A service that no configuration names is not run."""
+    (entry,) = await cluster.start_all(1)
+    outcome = await entry.dispatcher.handle(
+        request(service='none', deadline=entry.kernel.clock.now() + 1_000),
+    )
+    assert isinstance(outcome, NotRun)
+    assert outcome.reason is Reason.no_worker
+
+
+async def test_booking_runs_once_for_two_callers(cluster: Cluster) -> None:
+    """Two entry VMs are asked with one key; the work runs once."""
+    first, second = await cluster.start_all(2)
+    outcomes = []
+    for entry in (first, second):
+        asked = booking(deadline=entry.kernel.clock.now() + 1_000)
+        outcomes.append(
+            await entry.claims.settle(asked, entry.dispatcher.handle),
+        )
+    assert outcomes == [Done(200, 'text/plain', b'body')] * 2
+    assert cluster.workers.runs_of('key-1') == 1
--- /dev/null
+++ b/tests/test_session.py
@@ -0,0 +1,200 @@
+"""
+tests.test_session
+==================
+
+A whole session with separate processes, against its golden file.
+"""
+
+import pathlib
+from functools import partial
+from typing import Any
+
+import httpx
+import pytest
+from syrupy.assertion import SnapshotAssertion
+from trio.testing import MockClock
+
+from .golden import TextExtension, Transcript
+from .standins.processes import Entry, Site, ended, until
+
+ENTRY_IDS = tuple(f'entry-{number}' for number in range(1, 7))
+VM_IDS = ('desk-1', 'desk-2', 'desk-3', 'spare-1', 'spare-2')
+
+
+@pytest.fixture
+def mock_clock() -> None:
+    """Use real time: the processes live in it."""
+
+
+class Session:
+    """What callers and operators do, noted as it happens."""
+
+    def __init__(self, site: Site, client: httpx.AsyncClient) -> None:
+        """Start an empty transcript."""
+        self.site = site
+        self.client = client
+        self.transcript = Transcript()
+
+    async def ask(
+        self,
+        entry_id: str,
+        kind: str,
+        body: str,
+        **headers: str,
+    ) -> None:
+        """Send one request and note its outcome."""
+        entry = self.site.entries[entry_id]
+        sent = {'Request-Kind': kind, 'Content-Type': 'text/plain'}
+        sent.update(
+            {name.replace('_', '-'): text for name, text in headers.items()}
+        )
+        response = await self.client.post(
+            f'{entry.callers}/v1/services/desk/requests',
+            content=body,
+            headers=sent,
+        )
+        named = ' '.join(headers.values())
+        self.transcript.note(
+            f'caller asks {entry_id}: {kind} {body!r} {named}'.rstrip(),
+            f'{response.headers["Outcome"]} {response.status_code}',
+            response.text,
+        )
+
+    def operate(self, entry_id: str, *arguments: str | pathlib.Path) -> None:
+        """Run one operators' command and note what it prints."""
+        entry = self.site.entries[entry_id]
+        code, output = self.site.command('--entry', entry.operators, *arguments)
+        named = ' '.join(
+            'FOLDER' if isinstance(argument, pathlib.Path) else argument
+            for argument in arguments
+        )
+        self.transcript.note(
+            f'operator at {entry_id}: {named}',
+            output,
+            f'exit code {code}',
+        )
+
+    async def vm_is(self, vm_id: str, state: str, pool: str) -> bool:
+        """Return whether every entry VM knows this of the VM."""
+        return all(
+            [
+                await self._knows(entry, vm_id, state, pool)
+                for entry in self.site.entries.values()
+            ]
+        )
+
+    async def number_is(self, number: int) -> bool:
+        """Return whether this configuration is in force everywhere."""
+        return all(
+            [
+                (await self._get(entry, '/v1/config/status'))['number']
+                == number
+                for entry in self.site.entries.values()
+            ]
+        )
+
+    async def ledger(self, key: str) -> list[str]:
+        """Return the events of *key* at all workers."""
+        events = []
+        for worker in self.site.workers.values():
+            response = await self.client.get(f'{worker.address}/ledger')
+            events += [
+                run['event'] for run in response.json() if run['key'] == key
+            ]
+        return events
+
+    async def readiness(self, entry_id: str) -> int:
+        """Return the status of an entry VM's readiness check."""
+        entry = self.site.entries[entry_id]
+        response = await self.client.get(f'{entry.callers}/readyz')
+        return response.status_code
+
+    async def _knows(
+        self,
+        entry: Entry,
+        vm_id: str,
+        state: str,
+        pool: str,
+    ) -> bool:
+        row = (await self._get(entry, '/v1/vms')).get(vm_id, {})
+        return bool((row.get('state'), row.get('pool')) == (state, pool))
+
+    async def _get(self, entry: Entry, path: str) -> Any:
+        return (await self.client.get(f'{entry.operators}{path}')).json()
+
+
+async def test_whole_session(
+    tmp_path: pathlib.Path,
+    snapshot: SnapshotAssertion,
+    mock_clock: MockClock,
+) -> None:
+    """Callers, a drain, a move, a new configuration and a planned stop."""
+    with Site(tmp_path) as site:
+        site.start_standins(*VM_IDS)
+        for entry_id in ENTRY_IDS:
+            site.start_entry(entry_id)
+        await site.until_up(site.entries['entry-1'])
+        async with httpx.AsyncClient(timeout=30) as client:
+            session = Session(site, client)
+            session.operate('entry-1', 'config', 'apply', site.fleet())
+            await site.until_ready()
+            await _call(session)
+            await _drain_and_move(session)
+            await _reconfigure(session)
+            await _stop(session)
+    golden = snapshot(extension_class=TextExtension)
+    assert session.transcript.text() == golden
+
+
+async def _call(session: Session) -> None:
+    for entry_id in ENTRY_IDS:
+        await session.ask(entry_id, 'look-up', f'hello {entry_id}')
+    for asked in ('entry-1', 'entry-4'):
+        await session.ask(asked, 'booking', 'lift', Idempotency_Key='key-1')
+    await session.ask(
+        'entry-2',
+        'booking',
+        'another lift',
+        Idempotency_Key='key-1',
+    )
+    await session.ask('entry-3', 'booking', 'no key')
+    await session.ask('entry-5', 'wash', 'no such work')
+    await session.ask('entry-6', 'look-up', 'slow', Request_Timeout='never')
+    session.transcript.note(
+        'workers: runs of key-1',
+        *await session.ledger('key-1'),
+    )
+
+
+async def _drain_and_move(session: Session) -> None:
+    session.operate('entry-2', 'drain', 'desk-1')
+    session.operate('entry-3', 'drain', 'desk-2')
+    await until(partial(session.vm_is, 'desk-1', 'drained', 'desk'))
+    session.operate('entry-4', 'pools')
+    session.operate('entry-5', 'move', 'spare-1', '--to', 'desk')
+    await until(partial(session.vm_is, 'spare-1', 'serving', 'desk'))
+    session.operate('entry-6', 'return', 'desk-1')
+    await until(partial(session.vm_is, 'desk-1', 'serving', 'desk'))
+    session.operate('entry-1', 'vms')
+    await session.ask('entry-1', 'look-up', 'after the move')
+
+
+async def _reconfigure(session: Session) -> None:
+    changes = {'services': {'desk': {'work': {'wash': {'repeatable': True}}}}}
+    folder = session.site.fleet(changes)
+    session.operate('entry-1', 'config', 'diff', folder)
+    session.operate('entry-1', 'config', 'apply', folder, '--base', '1')
+    session.operate('entry-2', 'config', 'apply', folder, '--base', '1')
+    await until(partial(session.number_is, 2))
+    await session.ask('entry-6', 'wash', 'now there is such work')
+
+
+async def _stop(session: Session) -> None:
+    site = session.site
+    site.stop('entry-6')
+    code = await ended(site.entries['entry-6'].process)
+    session.transcript.note('entry-6 stops', f'exit code {code}')
+    site.entries.pop('entry-6')
+    await site.until_ready()
+    for entry_id in ENTRY_IDS[:5]:
+        await session.ask(entry_id, 'look-up', 'after the stop')
