--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,145 @@
+"""
+tests.test_settings
+===================
+
+Wrong settings and configurations: one clear error each, nothing applied.
+"""
+
+import pathlib
+
+import pytest
+
+from cyclamenshift import cmdline, daemon
+
+GOOD = """\
+pools:
+  desk: {}
+services:
+  desk:
+    pool: desk
+vms:
+  desk-1:
+    pool: desk
+    data_centre: dc-1
+    rack: rack-1
+    address: http://127.0.0.1:9001
+"""
+
+#: A later file, and what the error must start with.
+FAULTS = {
+    'bad YAML': (
+        'pools: {desk: [}\n',
+        '20-late.yaml:1: this is not valid YAML',
+    ),
+    'unknown key': (
+        'services:\n  desk:\n    avalability: 90\n',
+        '20-late.yaml:3: services.desk.avalability: there is no such key',
+    ),
+    'duplicate VM': (
+        'vms:\n  desk-2: {pool: desk}\n  desk-2: {pool: desk}\n',
+        '20-late.yaml:3: vms.desk-2 stands already at 20-late.yaml:2',
+    ),
+    'two VMs with one address': (
+        'vms:\n  desk-2:\n    pool: desk\n    data_centre: dc-1\n'
+        '    rack: rack-1\n    address: http://127.0.0.1:9001\n',
+        '20-late.yaml:6: vms.desk-2.address: the VM desk-1 has this address',
+    ),
+    'missing pool': (
+        'vms:\n  desk-1:\n    pool: dock\n',
+        "20-late.yaml:3: vms.desk-1.pool: there is no pool 'dock'",
+    ),
+    'missing key': (
+        'vms:\n  desk-2:\n    pool: desk\n',
+        '20-late.yaml:2: vms.desk-2: data_centre is missing',
+    ),
+    'wrong type': (
+        'services:\n  desk:\n    availability: most\n',
+        '20-late.yaml:3: services.desk.availability: expected `int`',
+    ),
+    'out of range': (
+        'services:\n  desk:\n    availability: 101\n',
+        '20-late.yaml:3: services.desk.availability: expected `int` <= 100',
+    ),
+    'not a mapping': (
+        '- desk\n',
+        '20-late.yaml:1: the file is not a mapping',
+    ),
+    'a name that is not allowed': (
+        'pools:\n  Desk One: {}\n',
+        '20-late.yaml:2: pools.Desk One: this name is not allowed',
+    ),
+}
+
+
+@pytest.mark.parametrize('fault', FAULTS)
+def test_wrong_fleet(
+    fault: str,
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """The check names file, line and remedy, and exits with 2."""
+    text, expected = FAULTS[fault]
+    (tmp_path / '10-good.yaml').write_text(GOOD)
+    (tmp_path / '20-late.yaml').write_text(text)
+    code = cmdline.main(['config', 'check', str(tmp_path)])
+    printed = capsys.readouterr()
+    assert code == 2
+    assert not printed.out
+    assert printed.err.startswith(f'cyclamenshift: {expected}')
+    assert printed.err.count('\n') == 1
+
+
+def test_good_fleet(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """A right folder is counted."""
+    (tmp_path / '10-good.yaml').write_text(GOOD)
+    assert cmdline.main(['config', 'check', str(tmp_path)]) == 0
+    assert '1 services, 1 pools, 1 vms' in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        ('entry: {id: [}\n', '10-entry.yaml:1: this is not valid YAML'),
+        ('entry:\n  name: x\n', '10-entry.yaml:2: entry.name: there is no'),
+        ('peers:\n  port: 70000\n', '10-entry.yaml:2: peers.port: expected'),
+        (
+            'platform:\n  plugin: http\n',
+            '10-entry.yaml:2: platform.plugin: the http plug-in needs',
+        ),
+        (
+            'platform:\n  plugin: papyrus\n',
+            "There is no platform plug-in called 'papyrus'",
+        ),
+    ],
+)
+def test_wrong_settings(
+    text: str,
+    expected: str,
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """The daemon names file, line and remedy, and does not start."""
+    (tmp_path / '10-entry.yaml').write_text(text)
+    code = daemon.main(['--settings', str(tmp_path)])
+    printed = capsys.readouterr()
+    assert code == 2
+    assert printed.err.startswith(f'cyclamenshiftd: {expected}')
+
+
+def test_missing_folder(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """A folder that is not there is said so."""
+    missing = tmp_path / 'none'
+    assert daemon.main(['--settings', str(missing)]) == 2
+    assert 'there is no such folder' in capsys.readouterr().err
+
+
+def test_first_run_example_is_right() -> None:
+    """The settings that the README names pass the check."""
+    folder = pathlib.Path(__file__).parents[1] / 'examples' / 'first-run'
+    assert daemon.main(['--check', '--settings', str(folder)]) == 0
