--- a/cyclamenshift/endpoints/http.py
+++ b/cyclamenshift/endpoints/http.py
@@ -9,7 +9,7 @@
 """
 
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypedDict
 
 import httpx
 import msgspec
@@ -36,13 +36,20 @@
 ASK_KEY = 'Ask for the outcome by its idempotency key before trying again.'
 
 
+class Status(TypedDict):
+    """What a worker says of itself: the requests that it runs."""
+
+    running: int
+
+
 @register
 class HttpEndpoint(Endpoint):
     """
     Keeps connections for repeatable work only.
 
     A kept connection may have been lost without a sign, so work that may
-    not be repeated gets a new one each time.
+    not be repeated gets a new one each time.  Requests go to the transports
+    themselves: cookies, redirects and authentication have no place here.
     """
 
     name = 'http'
@@ -52,10 +59,10 @@
         super().__init__(kernel)
         settings = kernel.settings['endpoint']
         self.connect_timeout = settings['connect_timeout'] / SECOND_MS
-        self.kept = httpx.AsyncClient(
+        self.kept = httpx.AsyncHTTPTransport(
             limits=httpx.Limits(max_keepalive_connections=None),
         )
-        self.fresh = httpx.AsyncClient(
+        self.fresh = httpx.AsyncHTTPTransport(
             limits=httpx.Limits(max_keepalive_connections=0),
         )
 
@@ -79,26 +86,27 @@
 
     async def running(self, worker: Vm) -> int | Unavailable:
         """Return how many requests *worker* runs now."""
-        try:
-            response = await self.kept.get(
-                f'{worker.address}/status',
-                timeout=STATUS_TIMEOUT_S,
-            )
-            return msgspec.json.decode(response.content, type=dict[str, int])[
-                'running'
-            ]
-        except (httpx.HTTPError, msgspec.MsgspecError, KeyError):
-            return Unavailable(f'{worker.vm_id} does not tell its status.')
+        status = Unavailable(f'{worker.vm_id} does not tell its status.')
+        query = self._request('GET', f'{worker.address}/status', {}, b'')
+        with trio.move_on_after(STATUS_TIMEOUT_S):
+            try:
+                response = await _exchange(self.kept, query)
+                told = msgspec.json.decode(response.content, type=Status)
+            except (httpx.HTTPError, msgspec.MsgspecError):
+                return status
+            return told['running']
+        return status
 
     async def _post(self, worker: Vm, request: Request) -> Outcome:
-        client = self.kept if request.repeatable else self.fresh
+        transport = self.kept if request.repeatable else self.fresh
+        post = self._request(
+            'POST',
+            f'{worker.address}/requests',
+            _headers(request),
+            request.body,
+        )
         try:
-            response = await client.post(
-                f'{worker.address}/requests',
-                content=request.body,
-                headers=_headers(request),
-                timeout=httpx.Timeout(None, connect=self.connect_timeout),
-            )
+            response = await _exchange(transport, post)
         except NOT_SENT:
             return NotRun(Reason.unreachable, 'Try again; a worker is gone.')
         except httpx.HTTPError as error:
@@ -106,6 +114,21 @@
             return Unknown(Reason.answer_lost, ASK_KEY)
         return self._read(worker, request, response)
 
+    def _request(
+        self,
+        method: str,
+        url: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> httpx.Request:
+        return httpx.Request(
+            method,
+            url,
+            headers=headers,
+            content=body,
+            extensions={'timeout': {'connect': self.connect_timeout}},
+        )
+
     def _read(
         self,
         worker: Vm,
@@ -127,6 +150,18 @@
         )
 
 
+async def _exchange(
+    transport: httpx.AsyncHTTPTransport,
+    request: httpx.Request,
+) -> httpx.Response:
+    response = await transport.handle_async_request(request)
+    try:
+        await response.aread()
+    finally:
+        await response.aclose()
+    return response
+
+
 def _headers(request: Request) -> dict[str, str]:
     headers = {
         'Content-Type': request.content_type,
