Never call work not run before its claim row has been seen

Cause: a key that had run (its answer lost) was asked again while the store was down or slow; the entry VM could not see the claim and answered not-run, which was a lie about the work. Ruled out: telling first asks from later ones at the server, which would need the very row that can't be read. Change: until the row has been seen the outcome is unknown, with the remedy to send again with the same key. Cost: during an outage callers of such work read unknown, not not-run; what they do next is the same.

Also found: a worker that refuses connections always had the most free slots and took all three attempts (worker_gone_before_the_run, failing before). It is now left out for a second after each refusal.

The cluster tests ran on real time by mistake (the clock has to be an argument of the test); they are on virtual time now.

--- a/cyclamenshift/controls/claims.py
+++ b/cyclamenshift/controls/claims.py
@@ -6,6 +6,8 @@
 
 The claim row is in the table before the request is dispatched, and only
 the attempt that holds it dispatches.  A claim is never taken over by time.
+Until the row has been seen nobody can say that the work did not run, so
+no outcome is not-run before that.
 """
 
 import uuid
@@ -32,16 +34,15 @@
 
 #: How often a held claim is looked at, ms.
 HELD_POLL_MS = 100
-#: When a caller may try again while the store is down, ms.
-STORE_RETRY_AFTER_MS = 5_000
 #: How long an answer waits for its record, ms.
 RECORD_WAIT_MS = 1_000
 
-STORE_DOWN = NotRun(
+#: This attempt did not run; an earlier one with the key may have.
+STORE_DOWN = Unknown(
     Reason.store_down,
-    'Try again with the same key; the platform can not record it now.',
-    STORE_RETRY_AFTER_MS,
+    'Send it again with the same key when the platform is back.',
 )
+IN_PROGRESS = Unknown(Reason.in_progress, claims.ASK_AGAIN)
 TOO_LATE = NotRun(
     Reason.deadline,
     'Allow more time, or try again with the same key.',
@@ -52,12 +53,10 @@
     """One attempt at a claimed request, shared by callers of this process."""
 
     def __init__(self, request: Request, attempt: str) -> None:
-        """Start undecided and not dispatched."""
+        """Start undecided."""
         self.request = request
         self.attempt = attempt
         self.digest = claims.digest_of(request)
-        self.dispatched = False
-        self.abandoned = False
         self.outcome: Outcome | None = None
         self.ended = trio.Event()
 
@@ -116,7 +115,7 @@
             )
         with self.clock.move_on_after(self.clock.remaining(request.deadline)):
             await flight.ended.wait()
-        return self._outcome_of(flight)
+        return flight.outcome or IN_PROGRESS
 
     async def look_up(self, key: str) -> ClaimRow | Unavailable | None:
         """Return the claim row of *key*, None if there is none."""
@@ -136,14 +135,6 @@
         )
         return flight
 
-    def _outcome_of(self, flight: Flight) -> Outcome:
-        if flight.outcome is not None:
-            return flight.outcome
-        if flight.dispatched:
-            return Unknown(Reason.in_progress, claims.ASK_AGAIN)
-        flight.abandoned = True
-        return TOO_LATE
-
     async def _carry(self, flight: Flight, runner: Runner) -> None:
         try:
             await self._claim(flight, runner, ABSENT)
@@ -234,7 +225,6 @@
         runner: Runner,
         rival: Rival,
     ) -> None:
-        flight.dispatched = True
         while self.clock.remaining(flight.request.deadline):
             await self.clock.sleep(HELD_POLL_MS)
             row = await self.look_up(flight.request.key)
@@ -243,7 +233,7 @@
             if row['state'] != 'claimed':
                 flight.end(claims.recorded(row))
                 return
-        flight.end(Unknown(Reason.in_progress, claims.ASK_AGAIN))
+        flight.end(IN_PROGRESS)
 
     async def _run(
         self,
@@ -252,11 +242,8 @@
         row: ClaimRow,
         version: int,
     ) -> None:
-        late = not self.clock.remaining(flight.request.deadline)
-        if flight.abandoned or late:
-            outcome: Outcome = TOO_LATE
-        else:
-            flight.dispatched = True
+        outcome: Outcome = TOO_LATE
+        if self.clock.remaining(flight.request.deadline):
             outcome = await runner(flight.request)
         with self.clock.move_on_after(RECORD_WAIT_MS) as scope:
             await self._record(flight, outcome, row, version)
--- a/cyclamenshift/controls/dispatcher.py
+++ b/cyclamenshift/controls/dispatcher.py
@@ -38,7 +38,6 @@
 #: The reasons that speak against the worker.
 WORKER_FAULTS = frozenset(
     (
-        Reason.unreachable,
         Reason.answer_lost,
         Reason.deadline,
     )
@@ -67,19 +66,22 @@
         self.idle = trio.Event()
         self.grants: dict[Ticket, trio.Event] = {}
         self.rng = random.Random(kernel.settings['entry']['id'])
-        self.configuration.listeners.append(self.reconcile)
+        self.members = [self.membership.own]
+        self.configuration.listeners.append(self.own_anew)
 
     async def run(
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Follow the members and VMs; the callers' tasks do the work."""
-        self.reconcile()
+        """Look after waiting requests; members and VMs tell of changes."""
+        self.own_anew()
         task_status.started()
         heartbeat = self.kernel.settings['peers']['heartbeat']
         while True:
             await self.clock.sleep(heartbeat)
-            self.reconcile()
+            for queue in self.queues.values():
+                if queue.waiting.total():
+                    self.pump(queue)
 
     async def drain(self) -> None:
         """Return when no request is in flight."""
@@ -114,6 +116,13 @@
             self.peer.reachable(),
             self.membership.own,
         )
+        if members != self.members:
+            self.members = members
+            self.own_anew()
+
+    def own_anew(self) -> None:
+        """Work out the owners again, on the present VMs and members."""
+        members = self.members
         serving = [
             vm
             for vm in self.configuration.vms.values()
@@ -138,11 +147,6 @@
             self.queues[pool] = PoolQueue(pool)
         return self.queues[pool]
 
-    def loads(self) -> tuple[Load, ...]:
-        """Return what this entry VM's workers offer, by pool."""
-        now = self.clock.now()
-        return tuple(queue.load(now) for queue in self.queues.values())
-
     async def handle(self, request: Request) -> Outcome:
         """Take *request* to an outcome, with retries where they may be."""
         attempt = 1
@@ -322,13 +326,21 @@
         outcome = await self.endpoint.send(worker, request)
         now = self.clock.now()
         failed = _is_failure(outcome)
-        queue.health.record(worker.vm_id, now, failed=failed)
+        if _is_unreachable(outcome):
+            queue.health.unreachable(worker.vm_id, now)
+        else:
+            queue.health.record(worker.vm_id, now, failed=failed)
         if isinstance(outcome, Done) and not failed:
             elapsed = now - started
             self.run_times.record(request.service, request.work, elapsed)
         return outcome
 
 
+def _is_unreachable(outcome: Outcome) -> bool:
+    unreachable = Reason.unreachable
+    return isinstance(outcome, NotRun) and outcome.reason is unreachable
+
+
 def _is_failure(outcome: Outcome) -> bool:
     if isinstance(outcome, Done):
         return outcome.status >= retries.SERVER_ERROR
--- a/cyclamenshift/decisions/health.py
+++ b/cyclamenshift/decisions/health.py
@@ -16,6 +16,8 @@
 EJECT_MARGIN: Final = 0.3
 #: How long an ejected worker gets nothing before one probe, ms.
 PROBE_DELAY_MS: Final = 5_000
+#: How long a worker that refuses connections gets nothing, ms.
+UNREACHABLE_DELAY_MS: Final = 1_000
 #: The share of the workers that may be ejected at a time.
 EJECT_SHARE: Final = 0.25
 
@@ -37,6 +39,10 @@
         elif failed and self._stands_out(worker):
             self.ejected[worker] = now + PROBE_DELAY_MS
 
+    def unreachable(self, worker: str, now: int) -> None:
+        """Eject *worker*, which certainly started nothing, for a moment."""
+        self.ejected[worker] = now + UNREACHABLE_DELAY_MS
+
     def usable(self, worker: str, now: int, busy: int) -> bool:
         """Return whether *worker* may get a request now."""
         probe_at = self.ejected.get(worker)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,29 +2,19 @@
 tests.conftest
 ==============
 
-What every test shares: virtual time, and golden files as plain text.
+What tests share.  A test on virtual time also takes autojump_clock.
 """
 
 from collections.abc import AsyncIterator
 
 import pytest
 import trio
-from trio.testing import MockClock
 
 from .standins.fakes import Cluster
 
 
 @pytest.fixture
-def mock_clock() -> MockClock:
-    """Return virtual time that starts at 0 and jumps over waits."""
-    return MockClock(autojump_threshold=0)
-
-
-@pytest.fixture
-async def cluster(
-    mock_clock: MockClock,
-    nursery: trio.Nursery,
-) -> AsyncIterator[Cluster]:
+async def cluster(nursery: trio.Nursery) -> AsyncIterator[Cluster]:
     """Give a cluster without an entry VM; end them all after the test."""
     yield Cluster(nursery)
     nursery.cancel_scope.cancel()
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -143,6 +143,7 @@
     request_id: str
     key: str
     work: str
+    at: float
 
 
 class Workers:
@@ -184,8 +185,6 @@
         mode = workers.modes.get(worker.vm_id, 'ok')
         if mode == 'gone':
             return NotRun(Reason.unreachable, 'try again')
-        if mode == 'fail':
-            return Done(500, '', b'failed')
         if workers.running[worker.vm_id] >= worker.slots:
             workers.refusals += 1
             return NotRun(Reason.refused, 'try again')
@@ -195,8 +194,11 @@
                 request.request_id,
                 request.key,
                 request.work,
+                trio.current_time(),
             ),
         )
+        if mode == 'fail':
+            return Done(500, '', b'failed')
         workers.running[worker.vm_id] += 1
         try:
             await self.clock.sleep(workers.run_ms.get(request.work, RUN_MS))
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -221,7 +221,9 @@
         dump = (await client.get(f'{entry.operators}/v1/dump')).json()
     except httpx.HTTPError:
         return False
-    peers = [peer for peer in dump['stream'].values() if peer['connected']]
+    peers = [
+        peer for peer in dump['stream']['peers'].values() if peer['connected']
+    ]
     return ready.status_code == 200 and len(peers) == count - 1
 
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,13 +5,18 @@
 Requests over the whole path, on virtual time.
 """
 
+from trio.testing import MockClock
+
 from cyclamenshift.model import Done, NotRun, Reason
 
 from .builders import booking, request
 from .standins.fakes import Cluster
 
 
-async def test_request_is_answered(cluster: Cluster) -> None:
+async def test_request_is_answered(
+    cluster: Cluster,
+    autojump_clock: MockClock,
+) -> None:
     """One entry VM, one request, one whole answer."""
     (entry,) = await cluster.start_all(1)
     now = entry.kernel.clock.now()
@@ -19,7 +24,10 @@
     assert outcome == Done(200, 'text/plain', b'body')
 
 
-async def test_request_is_forwarded_to_the_owner(cluster: Cluster) -> None:
+async def test_request_is_forwarded_to_the_owner(
+    cluster: Cluster,
+    autojump_clock: MockClock,
+) -> None:
     """An entry VM without workers of its own sends to one that has."""
     entries = await cluster.start_all(4, {'desk': 1})
     for entry in entries:
@@ -30,7 +38,10 @@
     assert cluster.workers.refusals == 0
 
 
-async def test_every_worker_has_one_owner(cluster: Cluster) -> None:
+async def test_every_worker_has_one_owner(
+    cluster: Cluster,
+    autojump_clock: MockClock,
+) -> None:
     """Each worker is in the queue of just one entry VM."""
     entries = await cluster.start_all(4)
     owned = [
@@ -42,7 +53,10 @@
     assert sorted(owned) == sorted(entries[0].configuration.vms)
 
 
-async def test_service_that_is_not_there(cluster: Cluster) -> None:
+async def test_service_that_is_not_there(
+    cluster: Cluster,
+    autojump_clock: MockClock,
+) -> None:
     """A service that no configuration names is not run."""
     (entry,) = await cluster.start_all(1)
     outcome = await entry.dispatcher.handle(
@@ -52,7 +66,10 @@
     assert outcome.reason is Reason.no_worker
 
 
-async def test_booking_runs_once_for_two_callers(cluster: Cluster) -> None:
+async def test_booking_runs_once_for_two_callers(
+    cluster: Cluster,
+    autojump_clock: MockClock,
+) -> None:
     """Two entry VMs are asked with one key; the work runs once."""
     first, second = await cluster.start_all(2)
     outcomes = []
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -10,9 +10,7 @@
 from typing import Any
 
 import httpx
-import pytest
 from syrupy.assertion import SnapshotAssertion
-from trio.testing import MockClock
 
 from .golden import TextExtension, Transcript
 from .standins.processes import Entry, Site, ended, until
@@ -21,11 +19,6 @@
 VM_IDS = ('desk-1', 'desk-2', 'desk-3', 'spare-1', 'spare-2')
 
 
-@pytest.fixture
-def mock_clock() -> None:
-    """Use real time: the processes live in it."""
-
-
 class Session:
     """What callers and operators do, noted as it happens."""
 
@@ -126,7 +119,6 @@
 async def test_whole_session(
     tmp_path: pathlib.Path,
     snapshot: SnapshotAssertion,
-    mock_clock: MockClock,
 ) -> None:
     """Callers, a drain, a move, a new configuration and a planned stop."""
     with Site(tmp_path) as site:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -139,7 +139,9 @@
     assert 'there is no such folder' in capsys.readouterr().err
 
 
-def test_first_run_example_is_right() -> None:
-    """The settings that the README names pass the check."""
-    folder = pathlib.Path(__file__).parents[1] / 'examples' / 'first-run'
+@pytest.mark.parametrize('example', ['first-run', 'tuul-wash', 'halloran'])
+def test_example_is_right(example: str) -> None:
+    """The settings and the fleet of each example pass the check."""
+    folder = pathlib.Path(__file__).parents[1] / 'examples' / example
     assert daemon.main(['--check', '--settings', str(folder)]) == 0
+    assert cmdline.main(['config', 'check', str(folder / 'fleet')]) == 0
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -11,7 +11,6 @@
 from functools import partial
 
 import httpx
-import pytest
 import trio
 
 from .standins.processes import Entry, Site, ended, until
@@ -24,11 +23,6 @@
 BALANCER_S = 0.1
 
 
-@pytest.fixture
-def mock_clock() -> None:
-    """Use real time: the processes live in it."""
-
-
 class Load:
     """Callers behind a balancer, and what they were told."""
 
