Prove configurations, pools, budgets and peer streams under failure

Found by test_wrong_frames_are_refused: bytes that are no msgpack raised msgpack's own error out of the connection's task and would have ended the process. They are a ProtocolError now, which ends that connection alone.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -69,9 +69,10 @@
 def main() -> None:
     """Measure each size and print the table and the slopes."""
     parser = argparse.ArgumentParser()
-    parser.add_argument('--first', type=int, default=len(SIZES))
-    first = parser.parse_args().first
-    costs = [_measure_in_folder(Size(*size)) for size in SIZES[:first]]
+    parser.add_argument('--only', type=int, help='measure this row alone')
+    only = parser.parse_args().only
+    sizes = SIZES if only is None else SIZES[only : only + 1]
+    costs = [_measure_in_folder(Size(*size)) for size in sizes]
     show_slope(costs, 'memory', (0, 1, 2))
     show_slope(costs, 'cpu', (0, 1, 2))
     show_slope(costs, 'vm_change', (0, 1, 2))
--- a/cyclamenshift/controls/pools.py
+++ b/cyclamenshift/controls/pools.py
@@ -15,30 +15,22 @@
 
 from ..component import Dump
 from ..control import Control
-from ..decisions import budget
+from ..decisions import budget, changes
 from ..decisions.membership import live_members, owner_of
 from ..endpoint import Endpoint
 from ..model import VmState
 from ..peer import Peer
 from ..platform import (
     ABSENT,
-    Check,
     Committed,
-    CommitResult,
     Conflict,
     Platform,
-    Row,
-    Transaction,
     Unavailable,
     Uncertain,
-    Write,
 )
 from ..plugin import register
 from ..rows import (
-    CHANGES_KEY,
     HEAD_KEY,
-    BudgetRow,
-    ChangesRow,
     HeadRow,
     VmRow,
     budget_key,
@@ -66,14 +58,6 @@
     row: VmRow
 
 
-class _Place(NamedTuple):
-    """The rows that one change of a VM conditions on."""
-
-    head: Row
-    vm: Row
-    budgets: dict[str, Row]
-
-
 @register
 class Pools(Control):
     """Changes the rows of VMs, and sees leaving VMs off."""
@@ -138,10 +122,10 @@
             place = await self._read(vm_id)
             if isinstance(place, budget.Refused):
                 return place
-            row = budget.next_row(typed(place.vm, VmRow), state, target)
-            if isinstance(row, budget.Refused):
-                return row
-            result = await self._try(vm_id, place, row)
+            planned = changes.plan(place, state, target)
+            if isinstance(planned, budget.Refused):
+                return planned
+            result = await self._commit(vm_id, planned)
             if not isinstance(result, Conflict):
                 await self.configuration.refresh()
                 return result
@@ -159,7 +143,7 @@
             for (vm_id, _epoch), since in self.leaving_since.items()
         }
 
-    async def _read(self, vm_id: str) -> _Place | budget.Refused:
+    async def _read(self, vm_id: str) -> changes.Place | budget.Refused:
         in_force = self.configuration.in_force
         services = sorted(in_force.fleet['services']) if in_force else []
         keys = [HEAD_KEY, vm_key(vm_id), *map(budget_key, services)]
@@ -175,28 +159,20 @@
         if typed(head, HeadRow)['number'] != self.configuration.number:
             await self.configuration.refresh()
             return await self._read(vm_id)
-        return _Place(head, vm, dict(zip(services, budgets, strict=True)))
+        by_service = dict(zip(services, budgets, strict=True))
+        return changes.Place(vm_id, head, vm, by_service)
 
-    async def _try(
+    async def _commit(
         self,
         vm_id: str,
-        place: _Place,
-        row: VmRow,
+        planned: changes.Planned,
     ) -> Changed | budget.Refused | Conflict:
-        present = {
-            service: typed(budget_row, BudgetRow)
-            for service, budget_row in place.budgets.items()
-        }
-        moved = budget.charge(present, typed(place.vm, VmRow), row)
-        if isinstance(moved, budget.Refused):
-            return moved
-        transaction = _transaction(vm_id, place, row, moved)
-        result: CommitResult = await self.platform.commit(transaction)
+        result = await self.platform.commit(planned.transaction)
         if isinstance(result, Uncertain):
-            return await self._read_back(vm_id, row)
+            return await self._read_back(vm_id, planned.row)
         if isinstance(result, Committed):
-            self.log.info('%s is %s now.', vm_id, row['state'])
-            return Changed(vm_id, row)
+            self.log.info('%s is %s now.', vm_id, planned.row['state'])
+            return Changed(vm_id, planned.row)
         return STORE_DOWN if isinstance(result, Unavailable) else result
 
     async def _read_back(
@@ -245,24 +221,3 @@
             self.leaving_since.pop((vm_id, vm.epoch), None)
         else:
             self.log.warning('%s stays leaving: %s', vm_id, result)
-
-
-def _transaction(
-    vm_id: str,
-    place: _Place,
-    row: VmRow,
-    moved: dict[str, BudgetRow],
-) -> Transaction:
-    checks = [
-        Check(HEAD_KEY, place.head.version),
-        Check(vm_key(vm_id), place.vm.version),
-    ]
-    writes = [
-        Write(vm_key(vm_id), row),
-        Write(CHANGES_KEY, ChangesRow(vms=[vm_id])),
-    ]
-    for service, budget_row in moved.items():
-        key = budget_key(service)
-        checks.append(Check(key, place.budgets[service].version))
-        writes.append(Write(key, budget_row))
-    return Transaction(tuple(checks), tuple(writes))
--- /dev/null
+++ b/cyclamenshift/decisions/changes.py
@@ -0,0 +1,77 @@
+"""
+cyclamenshift.decisions.changes
+===============================
+
+The one transaction that changes a VM, on the rows that were read for it.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from ..model import VmState
+from ..platform import Check, Row, Transaction, Write
+from ..rows import (
+    CHANGES_KEY,
+    BudgetRow,
+    ChangesRow,
+    VmRow,
+    budget_key,
+    typed,
+)
+from . import budget
+
+
+class Place(NamedTuple):
+    """The rows that a change of one VM conditions on."""
+
+    vm_id: str
+    head: Row
+    vm: Row
+    budgets: Mapping[str, Row]
+
+
+class Planned(NamedTuple):
+    """A change that may be committed, and the VM's row after it."""
+
+    row: VmRow
+    transaction: Transaction
+
+
+def plan(
+    place: Place,
+    state: VmState,
+    target: str,
+) -> Planned | budget.Refused:
+    """Return the change of the VM to *state*, or why it may not be."""
+    before = typed(place.vm, VmRow)
+    row = budget.next_row(before, state, target)
+    if isinstance(row, budget.Refused):
+        return row
+    present = {
+        service: typed(budget_row, BudgetRow)
+        for service, budget_row in place.budgets.items()
+    }
+    moved = budget.charge(present, before, row)
+    if isinstance(moved, budget.Refused):
+        return moved
+    return Planned(row, _transaction(place, row, moved))
+
+
+def _transaction(
+    place: Place,
+    row: VmRow,
+    moved: Mapping[str, BudgetRow],
+) -> Transaction:
+    checks = [
+        Check(place.head.key, place.head.version),
+        Check(place.vm.key, place.vm.version),
+    ]
+    writes = [
+        Write(place.vm.key, row),
+        Write(CHANGES_KEY, ChangesRow(vms=[place.vm_id])),
+    ]
+    for service, budget_row in moved.items():
+        key = budget_key(service)
+        checks.append(Check(key, place.budgets[service].version))
+        writes.append(Write(key, budget_row))
+    return Transaction(tuple(checks), tuple(writes))
--- a/cyclamenshift/peers/frames.py
+++ b/cyclamenshift/peers/frames.py
@@ -69,8 +69,11 @@
                 'A peer sent a frame that is too long.',
                 'Set the same peers.frame_limit at every entry VM.',
             ) from error
-        for frame in self.unpacker:
-            yield _decode(frame)
+        try:
+            for frame in self.unpacker:
+                yield _decode(frame)
+        except (msgpack.UnpackException, ValueError) as broken:
+            raise _unknown(broken) from broken
 
 
 def _decode(frame: Any) -> Message:
@@ -78,7 +81,11 @@
         tag, *fields = frame
         return msgspec.convert(tuple(fields), _TYPES[tag])
     except (TypeError, ValueError, KeyError) as error:
-        raise ProtocolError(
-            f'A peer sent a message of no known shape: {error}.',
-            'Run the same version at every entry VM.',
-        ) from error
+        raise _unknown(error) from error
+
+
+def _unknown(error: Exception) -> ProtocolError:
+    return ProtocolError(
+        f'A peer sent a message of no known shape: {error!r}.',
+        'Run the same version at every entry VM.',
+    )
--- /dev/null
+++ b/tests/test_pools.py
@@ -0,0 +1,125 @@
+"""
+tests.test_pools
+================
+
+Drains and moves of VMs, on virtual time.
+"""
+
+import trio
+from trio.testing import MockClock
+
+from cyclamenshift.controls.pools import LEAVE_BOUND_MS, Changed
+from cyclamenshift.decisions.budget import Refused
+from cyclamenshift.model import VmState
+
+from .builders import request
+from .standins.fakes import Cluster, Entry
+
+#: The time after which a leaving VM gets no new work, seconds.
+BOUND_S = 3
+
+
+def state_of(cluster: Cluster, vm_id: str) -> set[tuple[str, str]]:
+    """Return the state and the pool of a VM at all entry VMs."""
+    rows = [
+        entry.configuration.vm_rows[vm_id] for entry in cluster.entries.values()
+    ]
+    return {(row['state'], row['pool']) for row in rows}
+
+
+async def test_leaving_vm_gets_no_new_work(
+    cluster: Cluster,
+    autojump_clock: MockClock,
+) -> None:
+    """After the bound no entry VM sends to it, and it ends drained."""
+    entries = await cluster.start_all(4)
+    async with trio.open_nursery() as nursery:
+        for entry in entries:
+            nursery.start_soon(_keep_asking, entry)
+        await trio.sleep(2)
+        assert isinstance(await entries[0].pools.drain_vm('desk-1'), Changed)
+        accepted = trio.current_time()
+        await cluster.until(
+            lambda: state_of(cluster, 'desk-1') == {('drained', 'desk')},
+        )
+        await trio.sleep(2)
+        nursery.cancel_scope.cancel()
+    late = [
+        run
+        for run in cluster.workers.ledger
+        if run.worker == 'desk-1' and run.at > accepted + BOUND_S
+    ]
+    assert cluster.workers.ledger
+    assert not late
+    assert BOUND_S * 1_000 == LEAVE_BOUND_MS
+
+
+async def test_drain_waits_for_work_in_flight(
+    cluster: Cluster,
+    autojump_clock: MockClock,
+) -> None:
+    """A VM stays leaving while its worker runs something."""
+    (entry,) = await cluster.start_all(1, {'desk': 4})
+    await entry.pools.drain_vm('desk-1')
+    cluster.workers.running['desk-1'] = 1
+    await trio.sleep(30)
+    assert state_of(cluster, 'desk-1') == {('leaving', 'desk')}
+    cluster.workers.running['desk-1'] = 0
+    await cluster.until(
+        lambda: state_of(cluster, 'desk-1') == {('drained', 'desk')},
+    )
+
+
+async def test_two_operators_race(
+    cluster: Cluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Two drains that the floor allows only one of: one is refused."""
+    first, second = await cluster.start_all(2, {'desk': 4})
+    changes: list[Changed | Refused] = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_drain, first, 'desk-1', changes)
+        nursery.start_soon(_drain, second, 'desk-2', changes)
+    kinds = sorted(type(result).__name__ for result in changes)
+    assert kinds == ['Changed', 'Refused']
+
+
+async def test_lost_answer_of_a_change(
+    cluster: Cluster,
+    autojump_clock: MockClock,
+) -> None:
+    """A drain whose answer was lost is read back, and counted once."""
+    (entry,) = await cluster.start_all(1, {'desk': 4})
+    cluster.store.lose_answers = 1
+    assert isinstance(await entry.pools.drain_vm('desk-1'), Changed)
+    (row,) = cluster.store.table.scan('budget/desk')
+    assert row.fields['unavailable'] == 1
+
+
+async def test_move_is_finished_by_another_entry_vm(
+    cluster: Cluster,
+    autojump_clock: MockClock,
+) -> None:
+    """The entry VM that took the operator's call dies; the move goes on."""
+    first, second = await cluster.start_all(2)
+    assert isinstance(await first.pools.move('spare-1', 'desk'), Changed)
+    cluster.kill('entry-1')
+    await cluster.until(
+        lambda: state_of(cluster, 'spare-1') == {('serving', 'desk')},
+    )
+    assert second.configuration.vms['spare-1'].state is VmState.serving
+
+
+async def _drain(
+    entry: Entry,
+    vm_id: str,
+    changes: list[Changed | Refused],
+) -> None:
+    changes.append(await entry.pools.drain_vm(vm_id))
+
+
+async def _keep_asking(entry: Entry) -> None:
+    while True:
+        deadline = entry.kernel.clock.now() + 1_000
+        await entry.dispatcher.handle(request(deadline=deadline))
+        await trio.sleep(0.02)
