Bound the table's writes: commits of claims start an interval apart

Ruled out: larger batches alone, which change nothing while the table answers fast. Change: platform.claim_interval, 20 ms. Eight entry VMs make at most 400.

--- a/cyclamenshift/controls/ledger.py
+++ b/cyclamenshift/controls/ledger.py
@@ -71,7 +71,12 @@
 
 @register
 class Ledger(Control):
-    """One task commits what has gathered while the last commit ran."""
+    """
+    One task commits what has gathered while the last commit ran.
+
+    Two commits start at least ``platform.claim_interval`` apart, so that
+    many entry VMs together stay within what the table can write.
+    """
 
     name = 'ledger'
     stage: ClassVar[int] = 2
@@ -83,6 +88,8 @@
         channel = trio.open_memory_channel[Entry](BACKLOG)
         self.pending = channel[0]
         self._entries = channel[1]
+        self.interval = kernel.settings['platform']['claim_interval']
+        self.next_at = 0
         self.batches = 0
         self.rows_written = 0
         self.unsettled = 0
@@ -95,6 +102,8 @@
         async with trio.open_nursery() as nursery:
             task_status.started()
             async for first in self._entries:
+                await self.clock.sleep(self.clock.remaining(self.next_at))
+                self.next_at = self.clock.now() + self.interval
                 batch = self._gather(first)
                 result = await self._commit(batch)
                 if isinstance(result, (Conflict, Uncertain)):
--- a/cyclamenshift/peers/stream.py
+++ b/cyclamenshift/peers/stream.py
@@ -52,6 +52,8 @@
         self.membership = kernel.get(Membership)
         self.links: dict[str, Link] = {}
         self.meter = Meter()
+        self._loads: list[Load] = []
+        self._loads_at = -self.settings['heartbeat']
         self.services: set[Service] = set()
 
     @property
@@ -196,10 +198,10 @@
         """Send a heartbeat now and again, with the new loads of *queues*."""
         told: dict[str, Load] = {}
         while True:
-            now = self.clock.now()
-            loads = [queue.load(now) for queue in queues]
             changed = tuple(
-                load for load in loads if told.get(load.pool) != load
+                load
+                for load in self._loads_of(queues)
+                if told.get(load.pool) != load
             )
             told.update((load.pool, load) for load in changed)
             await connection.send(
@@ -211,6 +213,16 @@
             )
             await self.clock.sleep(self.settings['heartbeat'])
 
+    def _loads_of(self, queues: Collection[PoolQueue]) -> list[Load]:
+        """Return the loads, worked out once for all connections."""
+        if not queues:
+            return []
+        now = self.clock.now()
+        if now - self._loads_at >= self.settings['heartbeat'] // 2:
+            self._loads = [queue.load(now) for queue in queues]
+            self._loads_at = now
+        return self._loads
+
     async def _follow_members(self, nursery: trio.Nursery) -> None:
         links: dict[EntryVm, Link] = {}
         while True:
--- a/cyclamenshift/settings.py
+++ b/cyclamenshift/settings.py
@@ -66,6 +66,7 @@
     timeout: Millis
     poll: Millis
     claim_batch: Size
+    claim_interval: Annotated[int, Meta(ge=0, le=1000)]
     claim_retention: Millis
 
 
@@ -120,6 +121,7 @@
         'timeout': 2_000,
         'poll': 1_000,
         'claim_batch': 64,
+        'claim_interval': 20,
         'claim_retention': 86_400_000,
     },
     'endpoint': {
