Replace every entry VM under load without a refused request

Cause: for up to a second an entry VM sent to a peer that had ceded its workers to a new one which the sender had not read yet; three attempts at once all met it. Ruled out: workers that were full (no such refusal was told).

An entry VM is ready only when it knows the VMs' states as well.

The fake network delivered buffered bytes when a silenced connection was closed, which a lost connection does not do; it drops them now. The check of the silence bound is unchanged.

--- a/cyclamenshift/controls/configuration.py
+++ b/cyclamenshift/controls/configuration.py
@@ -119,6 +119,11 @@
         """The number of the configuration in force, 0 for none."""
         return self.head['number'] if self.head else 0
 
+    @property
+    def ready(self) -> bool:
+        """Whether a configuration is in force and its VMs are known."""
+        return self.in_force is not None and bool(self.changes_version)
+
     async def run(
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
--- a/cyclamenshift/controls/dispatcher.py
+++ b/cyclamenshift/controls/dispatcher.py
@@ -35,6 +35,11 @@
 
 #: What is taken off the time left when a request is forwarded, ms.
 FORWARD_MARGIN_MS = 20
+#: The owners are changing; another attempt finds the new one.
+NOT_THE_OWNER = NotRun(
+    Reason.refused,
+    'Try again; the owners of the workers were changing.',
+)
 #: The reasons that speak against the worker.
 WORKER_FAULTS = frozenset(
     (
@@ -140,6 +145,7 @@
                 {vm_id: vm for vm_id, vm in owned.items() if vm.pool == pool}
             )
             self.pump(queue)
+        self.peer.tell_loads()
 
     def queue(self, pool: str) -> PoolQueue:
         """Return the queue of *pool*, made when it is first asked for."""
@@ -156,6 +162,8 @@
                 self.retry_budget.earn()
             if not self._again(outcome, request, attempt):
                 return outcome
+            if isinstance(outcome, NotRun):
+                await self.clock.sleep(attempt * retries.RETRY_DELAY_MS)
             attempt += 1
 
     async def serve(self, request: Request) -> Outcome:
@@ -224,10 +232,11 @@
     ) -> Outcome:
         self.kernel.metrics.forwards.inc({'peer': route.entry_id})
         deadline = request.deadline - FORWARD_MARGIN_MS
-        return await self.peer.forward(
+        outcome = await self.peer.forward(
             route.entry_id,
             request._replace(deadline=deadline),
         )
+        return NOT_THE_OWNER if _lost_its_workers(outcome) else outcome
 
     @_follow.register
     async def _follow_nowhere(
@@ -336,6 +345,11 @@
         return outcome
 
 
+def _lost_its_workers(outcome: Outcome) -> bool:
+    no_worker = Reason.no_worker
+    return isinstance(outcome, NotRun) and outcome.reason is no_worker
+
+
 def _is_unreachable(outcome: Outcome) -> bool:
     unreachable = Reason.unreachable
     return isinstance(outcome, NotRun) and outcome.reason is unreachable
--- a/cyclamenshift/controls/membership.py
+++ b/cyclamenshift/controls/membership.py
@@ -56,6 +56,7 @@
         self.listed_leaving: set[str] = set()
         self.version = ABSENT
         self.changed = trio.Event()
+        self._hint = trio.Event()
 
     async def run(
         self,
@@ -64,14 +65,23 @@
         """Register, then follow the others with each poll."""
         await self.refresh()
         task_status.started()
+        poll = self.kernel.settings['platform']['poll']
         polls = 0
         while True:
-            await self.clock.sleep(self.kernel.settings['platform']['poll'])
+            with self.clock.move_on_after(poll):
+                await self._hint.wait()
+            self._hint = trio.Event()
             await self.refresh()
             if polls % LIST_EVERY == 0:
                 await self._read_list()
             polls += 1
 
+    def hint(self, entry_id: str, incarnation: str) -> None:
+        """Refresh now if a peer that greets is not known yet."""
+        known = self.registered.get(entry_id)
+        if known is None or known.incarnation != incarnation:
+            self._hint.set()
+
     async def refresh(self) -> None:
         """Register if need be, and read the registrations."""
         if self.version == ABSENT and not self.kernel.draining:
--- a/cyclamenshift/decisions/retries.py
+++ b/cyclamenshift/decisions/retries.py
@@ -11,6 +11,8 @@
 
 #: How many attempts one request gets.
 ATTEMPT_LIMIT = 3
+#: The wait before the second attempt, ms; it grows with each attempt.
+RETRY_DELAY_MS = 50
 #: Retries allowed for each success, as a share.
 RETRY_SHARE = 0.1
 #: The retries that may be saved up.
@@ -23,7 +25,6 @@
     (
         Reason.deadline,
         Reason.queue_full,
-        Reason.no_worker,
         Reason.stopping,
     )
 )
--- a/cyclamenshift/frontends/callers.py
+++ b/cyclamenshift/frontends/callers.py
@@ -144,7 +144,7 @@
                 Reason.stopping,
                 'Use another entry VM.',
             )
-        if self.configuration.in_force is None:
+        if not self.configuration.ready:
             return problem(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 'no-configuration',
--- a/cyclamenshift/peer.py
+++ b/cyclamenshift/peer.py
@@ -110,6 +110,10 @@
     def loads(self, pool: str) -> dict[str, Load]:
         """Return what the reachable peers' workers of *pool* offer."""
 
+    @abc.abstractmethod
+    def tell_loads(self) -> None:
+        """Send the loads now, because the owned workers changed."""
+
     @abc.abstractmethod
     async def forward(self, entry_id: str, request: Request) -> Outcome:
         """Let a peer's worker run *request*; return the exact outcome."""
--- a/cyclamenshift/peers/service.py
+++ b/cyclamenshift/peers/service.py
@@ -39,7 +39,11 @@
 
     async def serve(self) -> None:
         """Greet, then take messages until the connection is lost."""
-        self.peer.check_greeting(await self.connection.receive(), None)
+        greeting = self.peer.check_greeting(
+            await self.connection.receive(),
+            None,
+        )
+        self.peer.membership.hint(greeting.entry_id, greeting.incarnation)
         await self.connection.send(self.peer.greeting())
         if self.peer.kernel.draining:
             await self.say_leaving()
--- a/cyclamenshift/peers/stream.py
+++ b/cyclamenshift/peers/stream.py
@@ -53,6 +53,7 @@
         self.links: dict[str, Link] = {}
         self.meter = Meter()
         self._loads: list[Load] = []
+        self._loads_moved = trio.Event()
         self._loads_at = -self.settings['heartbeat']
         self.services: set[Service] = set()
 
@@ -144,6 +145,12 @@
         link = self.links.get(entry_id)
         return await link.forward(request) if link else OWNER_LEFT
 
+    def tell_loads(self) -> None:
+        """Send the loads now, because the owned workers changed."""
+        self._loads_at = -self.settings['heartbeat']
+        self._loads_moved.set()
+        self._loads_moved = trio.Event()
+
     def dump(self) -> Dump:
         """Return each peer's connection and calls."""
         now = self.clock.now()
@@ -170,8 +177,8 @@
         self,
         message: Message,
         expected: EntryVm | None,
-    ) -> None:
-        """Raise ProtocolError unless *message* greets as *expected*."""
+    ) -> Greeting:
+        """Return the greeting; ProtocolError unless it is as *expected*."""
         if not isinstance(message, Greeting):
             raise ProtocolError('A peer did not greet.', 'Check peers.port.')
         if message.version != PROTOCOL_VERSION:
@@ -184,6 +191,7 @@
                 f'{expected.entry_id} is another process now.',
                 'Nothing to do; its new registration is read soon.',
             )
+        return message
 
     def report(self, errors: BaseExceptionGroup[Any]) -> None:
         """Log each protocol error."""
@@ -211,7 +219,8 @@
                     changed,
                 ),
             )
-            await self.clock.sleep(self.settings['heartbeat'])
+            with self.clock.move_on_after(self.settings['heartbeat']):
+                await self._loads_moved.wait()
 
     def _loads_of(self, queues: Collection[PoolQueue]) -> list[Load]:
         """Return the loads, worked out once for all connections."""
--- /dev/null
+++ b/tests/standins/callers.py
@@ -0,0 +1,99 @@
+"""
+tests.standins.callers
+======================
+
+Callers behind a balancer, with a count of what they were told.
+"""
+
+import itertools
+from collections import Counter
+from functools import partial
+
+import httpx
+import trio
+
+from .processes import Entry, Site, until
+
+#: How many callers send at the same time.
+CALLERS = 12
+#: How often the balancer looks at readiness, seconds.
+BALANCER_S = 0.1
+
+
+class Load:
+    """Callers behind a balancer, and what they were told."""
+
+    def __init__(self, site: Site, client: httpx.AsyncClient) -> None:
+        """Send to every entry VM until the balancer knows better."""
+        self.site = site
+        self.client = client
+        self.ready = list(site.entries.values())
+        self.told: Counter[str] = Counter()
+        self.keys: list[str] = []
+        self.numbers = itertools.count()
+        self.stopping = False
+
+    async def balance(self) -> None:
+        """Keep the list of the entry VMs that are ready."""
+        while not self.stopping:
+            self.ready = [
+                entry
+                for entry in tuple(self.site.entries.values())
+                if await self._is_ready(entry)
+            ]
+            await trio.sleep(BALANCER_S)
+
+    async def send(self, caller: int) -> None:
+        """Send one request after another until told to stop."""
+        while not self.stopping:
+            number = next(self.numbers)
+            entry = self.ready[number % len(self.ready)]
+            try:
+                self.told[await self._ask(entry, number)] += 1
+            except httpx.HTTPError as error:
+                self.told[f'{caller} cut off: {type(error).__name__}'] += 1
+
+    async def until_told(self, count: int) -> None:
+        """Wait until so many requests were answered."""
+        await until(partial(self._told_enough, count))
+
+    async def runs(self) -> Counter[str]:
+        """Return how often each key was started, by the workers' ledgers."""
+        runs: Counter[str] = Counter()
+        for worker in self.site.workers.values():
+            response = await self.client.get(f'{worker.address}/ledger')
+            runs.update(
+                run['key']
+                for run in response.json()
+                if run['event'] == 'started' and run['key']
+            )
+        return runs
+
+    async def _ask(self, entry: Entry, number: int) -> str:
+        kind = 'booking' if number % 3 == 0 else 'look-up'
+        key = f'key-{number}'
+        if kind == 'booking':
+            self.keys.append(key)
+        response = await self.client.post(
+            f'{entry.callers}/v1/services/desk/requests',
+            content=f'run=30;{number}',
+            headers={'Request-Kind': kind, 'Idempotency-Key': key},
+        )
+        assert response.text.endswith(f';{number}') or not response.is_success
+        outcome = response.headers['Outcome']
+        if response.is_success:
+            return outcome
+        problem = response.json()
+        reason = problem['reason']
+        remedy = problem['remedy']
+        return f'{outcome} {reason}: {remedy}'
+
+    async def _is_ready(self, entry: Entry) -> bool:
+        try:
+            response = await self.client.get(f'{entry.callers}/readyz')
+        except httpx.HTTPError:
+            return False
+        return response.is_success
+
+    async def _told_enough(self, count: int) -> bool:
+        return self.told.total() >= count
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -251,6 +251,7 @@
 
     def _delay(self, stream: MemoryStream, target: 'FakePeer') -> None:
         pump = stream.send_stream.send_all_hook
+        pump_close = stream.send_stream.close_hook
         network = self.network
         ends = {
             target.membership.own.entry_id,
@@ -267,7 +268,13 @@
             if pump is not None:
                 await pump()
 
+        def close() -> None:
+            lost = ends & (network.cut | network.silenced - opened_silenced)
+            if pump_close is not None and not lost:
+                pump_close()
+
         stream.send_stream.send_all_hook = deliver
+        stream.send_stream.close_hook = close
 
 
 class Entry(NamedTuple):
@@ -332,7 +339,7 @@
     def settled(self, count: int) -> bool:
         """Return whether all know the fleet and each other."""
         return all(
-            entry.configuration.in_force
+            entry.configuration.ready
             and len(entry.dispatcher.peer.reachable()) == count - 1
             for entry in self.entries.values()
         )
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,12 +5,13 @@
 Requests over the whole path, on virtual time.
 """
 
+import trio
 from trio.testing import MockClock
 
-from cyclamenshift.model import Done, NotRun, Reason
+from cyclamenshift.model import Done, NotRun, Outcome, Reason
 
 from .builders import booking, request
-from .standins.fakes import Cluster
+from .standins.fakes import Cluster, Entry
 
 
 async def test_request_is_answered(
@@ -66,6 +67,23 @@
     assert outcome.reason is Reason.no_worker
 
 
+async def test_owner_that_is_changing(
+    cluster: Cluster,
+    autojump_clock: MockClock,
+) -> None:
+    """A peer that has just lost its workers does not end the request."""
+    entries = await cluster.start_all(2, {'desk': 1})
+    entries.sort(key=lambda entry: len(entry.dispatcher.queue('desk').workers))
+    other, owner = entries
+    owner.dispatcher.queue('desk').replace_workers({})
+    outcomes: list[Outcome] = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_look_up, other, outcomes)
+        await trio.sleep(0.04)
+        owner.dispatcher.own_anew()
+    assert outcomes == [Done(200, 'text/plain', b'body')]
+
+
 async def test_booking_runs_once_for_two_callers(
     cluster: Cluster,
     autojump_clock: MockClock,
@@ -80,3 +98,8 @@
         )
     assert outcomes == [Done(200, 'text/plain', b'body')] * 2
     assert cluster.workers.runs_of('key-1') == 1
+
+
+async def _look_up(entry: Entry, outcomes: list[Outcome]) -> None:
+    deadline = entry.kernel.clock.now() + 1_000
+    outcomes.append(await entry.dispatcher.handle(request(deadline=deadline)))
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -5,76 +5,17 @@
 The graceful stop of an entry VM under load, counted at the callers.
 """
 
-import itertools
 import pathlib
 from collections import Counter
-from functools import partial
 
 import httpx
 import trio
 
-from .standins.processes import Entry, Site, ended, until
+from .standins.callers import CALLERS, Load
+from .standins.processes import Entry, Site, ended
 
-#: How many callers send at the same time.
-CALLERS = 12
-#: How many requests must be answered before and after the stop.
+#: How many requests must be answered before and after each stop.
 ENOUGH = 60
-#: How often the balancer looks at readiness, seconds.
-BALANCER_S = 0.1
-
-
-class Load:
-    """Callers behind a balancer, and what they were told."""
-
-    def __init__(self, site: Site, client: httpx.AsyncClient) -> None:
-        """Send to every entry VM until the balancer knows better."""
-        self.site = site
-        self.client = client
-        self.ready = list(site.entries.values())
-        self.told: Counter[str] = Counter()
-        self.keys: list[str] = []
-        self.numbers = itertools.count()
-        self.stopping = False
-
-    async def balance(self) -> None:
-        """Keep the list of the entry VMs that are ready."""
-        while not self.stopping:
-            self.ready = [
-                entry
-                for entry in self.site.entries.values()
-                if await self._is_ready(entry)
-            ]
-            await trio.sleep(BALANCER_S)
-
-    async def send(self, caller: int) -> None:
-        """Send one request after another until told to stop."""
-        while not self.stopping:
-            number = next(self.numbers)
-            entry = self.ready[number % len(self.ready)]
-            try:
-                self.told[await self._ask(entry, number)] += 1
-            except httpx.HTTPError as error:
-                self.told[f'{caller} cut off: {type(error).__name__}'] += 1
-
-    async def _ask(self, entry: Entry, number: int) -> str:
-        kind = 'booking' if number % 3 == 0 else 'look-up'
-        key = f'key-{number}'
-        if kind == 'booking':
-            self.keys.append(key)
-        response = await self.client.post(
-            f'{entry.callers}/v1/services/desk/requests',
-            content=f'run=30;{number}',
-            headers={'Request-Kind': kind, 'Idempotency-Key': key},
-        )
-        assert response.text.endswith(f';{number}') or not response.is_success
-        return response.headers['Outcome']
-
-    async def _is_ready(self, entry: Entry) -> bool:
-        try:
-            response = await self.client.get(f'{entry.callers}/readyz')
-        except httpx.HTTPError:
-            return False
-        return response.is_success
 
 
 async def test_stop_under_load_cuts_nothing_off(
@@ -82,25 +23,12 @@
 ) -> None:
     """Every caller gets its whole answer while one entry VM stops."""
     with Site(tmp_path) as site:
-        site.start_standins('desk-1', 'desk-2', 'desk-3')
-        for number in range(1, 4):
-            site.start_entry(f'entry-{number}')
+        await _start(site)
         stopped = site.entries['entry-1']
-        await site.until_up(stopped)
-        folder = site.fleet()
-        applied = site.command(
-            '--entry',
-            stopped.operators,
-            'config',
-            'apply',
-            folder,
-        )
-        assert applied[0] == 0
-        await site.until_ready()
         async with httpx.AsyncClient(timeout=30) as client:
             load = Load(site, client)
             code = await _stop_under(load, stopped)
-            runs = await _runs(site, client)
+            runs = await load.runs()
     assert code == 0
     assert set(load.told) == {'done'}
     assert runs == Counter(load.keys)
@@ -111,29 +39,61 @@
         nursery.start_soon(load.balance)
         for caller in range(CALLERS):
             nursery.start_soon(load.send, caller)
-        await _until_told(load, ENOUGH)
+        await load.until_told(ENOUGH)
         load.site.stop(stopped.entry_id)
         code = await ended(stopped.process)
-        await _until_told(load, load.told.total() + ENOUGH)
+        await load.until_told(load.told.total() + ENOUGH)
         load.stopping = True
     return code
 
 
-async def _until_told(load: Load, count: int) -> None:
-    await until(partial(_told_enough, load, count))
-
-
-async def _told_enough(load: Load, count: int) -> bool:
-    return load.told.total() >= count
+async def test_every_entry_vm_is_replaced_under_load(
+    tmp_path: pathlib.Path,
+) -> None:
+    """One after another is stopped behind a new one; nothing is lost."""
+    with Site(tmp_path) as site:
+        await _start(site)
+        async with httpx.AsyncClient(timeout=30) as client:
+            load = Load(site, client)
+            codes = await _replace_all(load)
+            runs = await load.runs()
+    assert codes == [0, 0, 0]
+    assert set(load.told) == {'done'}
+    assert runs == Counter(load.keys)
 
 
-async def _runs(site: Site, client: httpx.AsyncClient) -> Counter[str]:
-    runs: Counter[str] = Counter()
-    for worker in site.workers.values():
-        ledger = (await client.get(f'{worker.address}/ledger')).json()
-        runs.update(
-            run['key']
-            for run in ledger
-            if run['event'] == 'started' and run['key']
-        )
-    return runs
+async def _start(site: Site) -> None:
+    site.start_standins('desk-1', 'desk-2', 'desk-3')
+    for number in range(1, 4):
+        site.start_entry(f'entry-{number}')
+    first = site.entries['entry-1']
+    await site.until_up(first)
+    folder = site.fleet()
+    applied = site.command(
+        '--entry',
+        first.operators,
+        'config',
+        'apply',
+        folder,
+    )
+    assert applied[0] == 0
+    await site.until_ready()
+
+
+async def _replace_all(load: Load) -> list[int]:
+    site = load.site
+    codes = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(load.balance)
+        for caller in range(CALLERS):
+            nursery.start_soon(load.send, caller)
+        for number in range(1, 4):
+            site.start_entry(f'entry-{number + 3}')
+            await site.until_ready()
+            site.stop(f'entry-{number}')
+            old = site.entries[f'entry-{number}']
+            codes.append(await ended(old.process))
+            site.entries.pop(old.entry_id)
+            await load.until_told(load.told.total() + ENOUGH)
+        load.stopping = True
+    return codes
