--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,115 @@
+"""
+tests.test_callers
+==================
+
+The callers' and operators' ports of one process on the embedded default.
+"""
+
+import json
+import pathlib
+import signal
+from collections.abc import Iterator
+from functools import partial
+
+import httpx
+import pytest
+import trio
+
+from .standins.processes import Entry, Site, ended, until
+
+REQUESTS = '/v1/services/desk/requests'
+LOOK_UP = {'Request-Kind': 'look-up'}
+EMBEDDED = {
+    'platform': {'plugin': 'memory'},
+    'endpoint': {'plugin': 'memory'},
+    'callers': {'body_limit': 1_000, 'read_timeout': 300},
+}
+
+
+@pytest.fixture
+def site(tmp_path: pathlib.Path) -> Iterator[Site]:
+    """Give a site without processes, and end them after the test."""
+    with Site(tmp_path) as started:
+        yield started
+
+
+async def start(site: Site) -> Entry:
+    """Start one embedded entry VM with a fleet of one worker."""
+    site.start_standins('desk-1')
+    entry = site.start_entry('entry-1', **EMBEDDED)
+    await site.until_up(entry)
+    folder = site.fleet()
+    site.command('--entry', entry.operators, 'config', 'apply', folder)
+    await site.until_ready()
+    return entry
+
+
+async def test_bodies_are_bounded(site: Site) -> None:
+    """Too much, too slow and half-sent bodies are told so, and hold none."""
+    entry = await start(site)
+    async with httpx.AsyncClient(base_url=entry.callers) as client:
+        large = await client.post(
+            REQUESTS,
+            content=b'x' * 2_000,
+            headers=LOOK_UP,
+        )
+        assert large.status_code == 413
+        assert large.headers['Outcome'] == 'not-run'
+        assert large.json()['remedy'] == 'Send a smaller body.'
+        slow = await _send_half(entry)
+        assert slow.startswith('HTTP/1.1 400')
+        assert 'outcome: not-run' in slow.lower()
+        dump = await client.get(f'{entry.operators}/v1/dump')
+        assert dump.json()['dispatcher']['in_flight'] == 0
+        whole = await client.post(REQUESTS, content=b'hi', headers=LOOK_UP)
+        assert whole.headers['Outcome'] == 'done'
+
+
+async def test_what_became_of_a_key(site: Site) -> None:
+    """A key that was claimed is told with its outcome, another is not."""
+    entry = await start(site)
+    async with httpx.AsyncClient(base_url=entry.callers) as client:
+        sent = await client.post(
+            REQUESTS,
+            content=b'lift',
+            headers={'Request-Kind': 'booking', 'Idempotency-Key': 'key-1'},
+        )
+        found = await client.get('/v1/requests/key-1')
+        missing = await client.get('/v1/requests/key-2')
+    assert (found.status_code, found.content) == (200, b'lift')
+    assert found.headers['Request-Id'] == sent.headers['Request-Id']
+    assert missing.status_code == 404
+    assert 'no entry VM has claimed' in missing.json()['remedy']
+
+
+async def test_dump_and_metrics(site: Site) -> None:
+    """State comes by the operators' port and by SIGUSR1."""
+    entry = await start(site)
+    async with httpx.AsyncClient() as client:
+        metrics = await client.get(f'{entry.operators}/metrics')
+        dump = await client.get(f'{entry.operators}/v1/dump')
+    assert 'cyclamenshift_requests_total' in metrics.text
+    assert dump.json()['configuration']['head']['number'] == 1
+    entry.process.send_signal(signal.SIGUSR1)
+    line = await until(partial(_dumped, site))
+    assert json.loads(line).keys() == dump.json().keys()
+    site.stop('entry-1')
+    assert await ended(entry.process) == 0
+
+
+async def _send_half(entry: Entry) -> str:
+    """Send half a body, and return what the entry VM answers to that."""
+    port = httpx.URL(entry.callers).port or 0
+    head = (
+        f'POST {REQUESTS} HTTP/1.1\r\nHost: desk\r\nContent-Length: 100\r\n'
+        'Request-Kind: look-up\r\n\r\n'
+    )
+    async with await trio.open_tcp_stream('127.0.0.1', port) as stream:
+        await stream.send_all(head.encode() + b'x' * 50)
+        return bytes(await stream.receive_some()).decode()
+
+
+async def _dumped(site: Site) -> str:
+    (log,) = site.folder.glob('*.log')
+    lines = log.read_text(encoding='utf-8').splitlines()
+    return next((line for line in lines if line.startswith('{')), '')
