--- a/cyclamenshift/decisions/claims.py
+++ b/cyclamenshift/decisions/claims.py
@@ -54,7 +54,6 @@
         status=0,
         content_type='',
         body='',
-        object='',
         expires=expires,
     )
 
@@ -76,7 +75,7 @@
 
 
 def recorded(row: ClaimRow) -> Outcome:
-    """Return the outcome in *row*; the body of an object is left empty."""
+    """Return the outcome in *row*."""
     if row['state'] == 'done':
         body = base64.b64decode(row['body'])
         return Done(row['status'], row['content_type'], body)
@@ -103,7 +102,6 @@
         status=outcome.status,
         content_type=outcome.content_type,
         body=base64.b64encode(outcome.body).decode(),
-        object='',
         expires=claim['expires'],
     )
 
--- a/cyclamenshift/decisions/routing.py
+++ b/cyclamenshift/decisions/routing.py
@@ -54,13 +54,6 @@
     return _shortest_queue(local, remote)
 
 
-def reserve(load: Load) -> Load:
-    """Return *load* after one more request was sent to it."""
-    if load.free > 0:
-        return load._replace(free=load.free - 1)
-    return load._replace(queued=load.queued + 1)
-
-
 def _spare(load: Load) -> int:
     return load.free - load.queued
 
--- a/cyclamenshift/frontends/callers.py
+++ b/cyclamenshift/frontends/callers.py
@@ -112,7 +112,9 @@
             finally:
                 self.scopes.discard(scope)
         name = type(outcome).__name__
-        self.kernel.metrics.outcomes.inc({'outcome': name})
+        known = service if self._service(service) else ''
+        labels = {'service': known, 'outcome': name}
+        self.kernel.metrics.outcomes.inc(labels)
         return answer(outcome, request_id)
 
     async def show_outcome(self, key: str) -> Response:
--- a/cyclamenshift/frontends/operators.py
+++ b/cyclamenshift/frontends/operators.py
@@ -14,6 +14,7 @@
 from quart import Response
 
 from ..controls.configuration import Configuration, InForce, Proposal
+from ..controls.dispatcher import Dispatcher
 from ..controls.pools import Changed, Pools
 from ..decisions.budget import Refused
 from ..errors import SettingsError
@@ -81,6 +82,9 @@
 
     async def show_metrics(self) -> Response:
         """Return the metrics as Prometheus text."""
+        for pool, queue in self.kernel.get(Dispatcher).queues.items():
+            waiting = queue.waiting.total()
+            self.kernel.metrics.queued.set({'pool': pool}, waiting)
         return Response(
             self.kernel.metrics.render(),
             content_type=TEXT_FORMAT,
--- a/cyclamenshift/rows.py
+++ b/cyclamenshift/rows.py
@@ -79,7 +79,7 @@
     ``claim/KEY``: the only right to run a request.
 
     ``attempt`` names the entry VM's attempt that holds the claim; ``body``
-    is in base 64, or empty with ``object`` naming where it is.
+    is in base 64.
     ``expires`` is in milliseconds since the epoch.
     """
 
@@ -90,7 +90,6 @@
     status: int
     content_type: str
     body: str
-    object: str
     expires: int
 
 
--- a/cyclamenshift/settings.py
+++ b/cyclamenshift/settings.py
@@ -74,7 +74,6 @@
     """The connections to the workers."""
 
     plugin: Name
-    connections: Size
     connect_timeout: Millis
 
 
@@ -126,7 +125,6 @@
     },
     'endpoint': {
         'plugin': 'memory',
-        'connections': 64,
         'connect_timeout': 1_000,
     },
 }
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -112,7 +112,6 @@
         'status': 0,
         'content_type': '',
         'body': '',
-        'object': '',
         'expires': WALL_START,
     }
     return cast(ClaimRow, values | changes)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -89,6 +89,7 @@
         metrics = await client.get(f'{entry.operators}/metrics')
         dump = await client.get(f'{entry.operators}/v1/dump')
     assert 'cyclamenshift_requests_total' in metrics.text
+    assert 'cyclamenshift_queued_requests{pool="desk"} 0' in metrics.text
     assert dump.json()['configuration']['head']['number'] == 1
     entry.process.send_signal(signal.SIGUSR1)
     line = await until(partial(_dumped, site))
