Keep a row of another shape from ending the process

Found by test_claim_row_of_another_shape (failing first): the ledger raised on a claim row that it could not read, in a task of its own, and the entry VM ended; one such row would have ended each entry VM that was asked for the key. The same held for a registration and a VM's row (test_rows_of_another_shape, failing first). The ledger compares plain fields now; the claim is unknown, a registration is passed over, and a view that can't be read stays as it was. Each is logged with its remedy.

--- a/cyclamenshift/controls/claims.py
+++ b/cyclamenshift/controls/claims.py
@@ -20,6 +20,7 @@
 from ..component import Dump
 from ..control import Control
 from ..decisions import claims
+from ..errors import ProtocolError
 from ..model import NotRun, Outcome, Reason, Request, Unknown
 from ..platform import ABSENT, Platform, Unavailable
 from ..plugin import register
@@ -138,6 +139,8 @@
     async def _carry(self, flight: Flight, runner: Runner) -> None:
         try:
             await self._claim(flight, runner, ABSENT)
+        except ProtocolError as error:
+            self.log.error('%s: %s', flight.request.key, error)
         finally:
             if not flight.ended.is_set():
                 flight.end(Unknown(Reason.answer_lost, claims.ASK_AGAIN))
--- a/cyclamenshift/controls/configuration.py
+++ b/cyclamenshift/controls/configuration.py
@@ -18,7 +18,7 @@
 from ..control import Control
 from ..decisions.acceptance import Accepted, FleetRows, accept
 from ..decisions.budget import Refused
-from ..errors import SettingsError
+from ..errors import ProtocolError, SettingsError
 from ..model import Vm
 from ..platform import (
     ABSENT,
@@ -145,18 +145,11 @@
             self._hint.set()
 
     async def refresh(self) -> None:
-        """Bring this process up to the rows in the table."""
-        rows = await self.platform.read([HEAD_KEY, CHANGES_KEY])
-        self.store_up = not isinstance(rows, Unavailable)
-        if isinstance(rows, Unavailable):
-            return
-        head, changes = rows
-        moved = changes.version > self.changes_version
-        if head.version > self.head_version:
-            moved = await self._adopt(head) or moved
-        if moved and not await self._read_vms(changes.version):
-            return
-        self.refreshed_at = self.clock.now()
+        """Bring this process up to the rows in the table, if it can."""
+        try:
+            await self._refresh()
+        except ProtocolError as error:
+            self.log.error('%s', error)
 
     async def apply(self, proposal: Proposal) -> InForce | Refused:
         """
@@ -196,6 +189,19 @@
             'vms': self.vm_rows,
         }
 
+    async def _refresh(self) -> None:
+        rows = await self.platform.read([HEAD_KEY, CHANGES_KEY])
+        self.store_up = not isinstance(rows, Unavailable)
+        if isinstance(rows, Unavailable):
+            return
+        head, changes = rows
+        moved = changes.version > self.changes_version
+        if head.version > self.head_version:
+            moved = await self._adopt(head) or moved
+        if moved and not await self._read_vms(changes.version):
+            return
+        self.refreshed_at = self.clock.now()
+
     async def _adopt(self, head: Row) -> bool:
         row = typed(head, HeadRow)
         body = await self.platform.get_object(OBJECT_PREFIX + row['digest'])
--- a/cyclamenshift/controls/ledger.py
+++ b/cyclamenshift/controls/ledger.py
@@ -25,7 +25,7 @@
     Write,
 )
 from ..plugin import register
-from ..rows import ClaimRow, typed
+from ..rows import ClaimRow
 
 if TYPE_CHECKING:
     from ..kernel import Kernel
@@ -204,9 +204,6 @@
 
 
 def _verdict(entry: Entry, row: Row) -> Written | Rival:
-    if row.version == ABSENT:
-        return Rival(row)
-    present = typed(row, ClaimRow)
-    if present == entry.row:
+    if row.version != ABSENT and row.fields == entry.row:
         return Written(row.version)
     return Rival(row)
--- a/cyclamenshift/controls/membership.py
+++ b/cyclamenshift/controls/membership.py
@@ -12,12 +12,14 @@
 
 from ..component import Dump
 from ..control import Control
+from ..errors import ProtocolError
 from ..model import EntryVm
 from ..platform import (
     ABSENT,
     Check,
     Committed,
     Platform,
+    Row,
     Transaction,
     Unavailable,
     Write,
@@ -91,10 +93,9 @@
             return
         registered = {}
         for row in rows:
-            entry_id = row.key.removeprefix(ENTRY_PREFIX)
-            if entry_id != self.own.entry_id:
-                fields = typed(row, EntryRow)
-                registered[entry_id] = EntryVm(entry_id=entry_id, **fields)
+            entry = self._read_entry(row)
+            if entry and entry.entry_id != self.own.entry_id:
+                registered[entry.entry_id] = entry
         if registered != self.registered:
             self.registered = registered
             self.changed.set()
@@ -121,6 +122,15 @@
             'listed_leaving': sorted(self.listed_leaving),
         }
 
+    def _read_entry(self, row: Row) -> EntryVm | None:
+        entry_id = row.key.removeprefix(ENTRY_PREFIX)
+        try:
+            fields = typed(row, EntryRow)
+        except ProtocolError as error:
+            self.log.error('%s', error)
+            return None
+        return EntryVm(entry_id=entry_id, **fields)
+
     async def _register(self) -> None:
         key = entry_key(self.own.entry_id)
         row = EntryRow(
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -20,6 +20,8 @@
 
 from cyclamenshift.model import Done, NotRun, Outcome, Reason, Unknown
 
+from cyclamenshift.platform import Transaction, Write
+
 from .builders import booking
 from .standins.fakes import Cluster, Entry
 
@@ -146,6 +148,18 @@
     assert cluster.workers.runs_of('key-1') == 1
 
 
+async def test_claim_row_of_another_shape(
+    cluster: Cluster,
+    autojump_clock: MockClock,
+) -> None:
+    """A row that can't be read gives unknown, and the process goes on."""
+    (entry,) = await cluster.start_all(1)
+    strange = Write('claim/key-1', {'state': 'strange'})
+    cluster.store.table.commit(Transaction((), (strange,)))
+    assert isinstance(await ask(entry), Unknown)
+    assert await ask(entry, 'key-2') == DONE
+
+
 async def test_two_callers_race(
     cluster: Cluster,
     autojump_clock: MockClock,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -13,6 +13,8 @@
 from cyclamenshift.controls.configuration import InForce, Proposal
 from cyclamenshift.decisions.budget import Refused
 
+from cyclamenshift.platform import Transaction, Write
+
 from .builders import fleet_texts
 from .standins.fakes import Cluster, Entry
 
@@ -122,6 +124,23 @@
     assert entry.configuration.number == 1
 
 
+async def test_rows_of_another_shape(
+    cluster: Cluster,
+    autojump_clock: MockClock,
+) -> None:
+    """A row that can't be read is left alone; what was known stays."""
+    first, second = await cluster.start_all(2)
+    strange = (
+        Write('entry/entry-9', {'strange': 1}),
+        Write('vm/desk-1', {'strange': 1}),
+        Write('fleet/changes', {'vms': ['desk-1']}),
+    )
+    cluster.store.table.commit(Transaction((), strange))
+    await trio.sleep(5)
+    assert len(first.configuration.vms) == 8
+    assert cluster.settled(2)
+
+
 async def _apply(
     entry: Entry,
     asked: Proposal,
