Work out each worker's owner once; mend a look-up of an ended link

Read again: own_anew hashed every VM against every member twice, once for the slots of all owners and once for its own workers; both come from one pass now. Two checks of a refusal's reason were twins and are one function. The end of a link looked itself up by a key that a newer link of the same entry VM may have taken away already; that raised KeyError. Found by reading, so no test shows it failing.

--- a/cyclamenshift/controls/dispatcher.py
+++ b/cyclamenshift/controls/dispatcher.py
@@ -127,18 +127,17 @@
 
     def own_anew(self) -> None:
         """Work out the owners again, on the present VMs and members."""
-        members = self.members
         serving = [
             vm
             for vm in self.configuration.vms.values()
             if vm.state is VmState.serving
         ]
-        self.expected = membership.slots_by_owner(serving, members)
-        owned = membership.owned_by(
-            self.membership.own.entry_id,
-            serving,
-            members,
-        )
+        owners = {
+            vm.vm_id: membership.owner_of(vm, self.members) for vm in serving
+        }
+        self.expected = membership.slots_by_owner(serving, owners)
+        own_id = self.membership.own.entry_id
+        owned = {vm.vm_id: vm for vm in serving if owners[vm.vm_id] == own_id}
         for pool in {vm.pool for vm in serving} | self.queues.keys():
             queue = self.queue(pool)
             queue.replace_workers(
@@ -236,7 +235,9 @@
             route.entry_id,
             request._replace(deadline=deadline),
         )
-        return NOT_THE_OWNER if _lost_its_workers(outcome) else outcome
+        if _refused_for(outcome, Reason.no_worker):
+            return NOT_THE_OWNER
+        return outcome
 
     @_follow.register
     async def _follow_nowhere(
@@ -335,7 +336,7 @@
         outcome = await self.endpoint.send(worker, request)
         now = self.clock.now()
         failed = _is_failure(outcome)
-        if _is_unreachable(outcome):
+        if _refused_for(outcome, Reason.unreachable):
             queue.health.unreachable(worker.vm_id, now)
         else:
             queue.health.record(worker.vm_id, now, failed=failed)
@@ -345,14 +346,8 @@
         return outcome
 
 
-def _lost_its_workers(outcome: Outcome) -> bool:
-    no_worker = Reason.no_worker
-    return isinstance(outcome, NotRun) and outcome.reason is no_worker
-
-
-def _is_unreachable(outcome: Outcome) -> bool:
-    unreachable = Reason.unreachable
-    return isinstance(outcome, NotRun) and outcome.reason is unreachable
+def _refused_for(outcome: Outcome, reason: Reason) -> bool:
+    return isinstance(outcome, NotRun) and outcome.reason is reason
 
 
 def _is_failure(outcome: Outcome) -> bool:
--- a/cyclamenshift/decisions/membership.py
+++ b/cyclamenshift/decisions/membership.py
@@ -42,24 +42,15 @@
     )
 
 
-def owned_by(
-    entry_id: str,
-    vms: Iterable[Vm],
-    members: Collection[EntryVm],
-) -> dict[str, Vm]:
-    """Return those of *vms* that the entry VM owns, by id."""
-    return {vm.vm_id: vm for vm in vms if owner_of(vm, members) == entry_id}
-
-
 def slots_by_owner(
     vms: Iterable[Vm],
-    members: Collection[EntryVm],
+    owners: Mapping[str, str],
 ) -> dict[str, dict[str, int]]:
     """Return the slots that each entry VM owns, by pool and its id."""
     slots: dict[str, dict[str, int]] = {}
     for vm in vms:
         owned = slots.setdefault(vm.pool, {})
-        owner = owner_of(vm, members)
+        owner = owners[vm.vm_id]
         owned[owner] = owned.get(owner, 0) + vm.slots
     return slots
 
--- a/cyclamenshift/peers/stream.py
+++ b/cyclamenshift/peers/stream.py
@@ -248,5 +248,5 @@
         entry_id = link.entry.entry_id
         self.links[entry_id] = link
         await link.keep()
-        if self.links[entry_id] is link:
+        if self.links.get(entry_id) is link:
             self.links.pop(entry_id)
