Call the store a store; rows are named by table, part and name

Cause: the base called platform described the store only, and its name is needed for the adapter to the users' platform. Job rows have to be in one transaction with their owner, so a row needs a part beside its table. Change: store.py and stores/; Key(table, name, part); a transaction gives one version to all its rows; a conflict carries the checked rows, so that the ledger reads nothing back; follow() gives the changes of a table after a version. The list of VMs, which nothing acted on, is gone. The settings section platform is now store. Ruled out: a second store interface beside the first one; it would have been two copies of one thing.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -248,7 +248,7 @@
 
 
 async def _calls(site: Site, client: httpx.AsyncClient) -> int:
-    counts = (await client.get(f'{site.platform}/counts')).json()
+    counts = (await client.get(f'{site.store}/counts')).json()
     return int(counts['calls'])
 
 
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -60,7 +60,7 @@
     async with trio.open_nursery() as nursery:
         cluster = Cluster(nursery)
         entry = (await cluster.start_all(1, {'desk': 40}))[0]
-        entry.kernel.settings['platform']['claim_batch'] = 256
+        entry.kernel.settings['store']['claim_batch'] = 256
         ledger = entry.claims.ledger
         ledger.interval = interval
         started = trio.current_time()
--- a/bench/path.py
+++ b/bench/path.py
@@ -77,7 +77,7 @@
         site,
         'embedded',
         endpoint={'plugin': 'memory'},
-        platform={'plugin': 'memory'},
+        store={'plugin': 'memory'},
     )
     owner = await _start(site, 'owner')
     site.entries.pop('embedded')
--- a/cyclamenshift/controls/claims.py
+++ b/cyclamenshift/controls/claims.py
@@ -22,7 +22,7 @@
 from ..decisions import claims
 from ..errors import ProtocolError
 from ..model import NotRun, Outcome, Reason, Request, Unknown
-from ..platform import ABSENT, Platform, Unavailable
+from ..store import ABSENT, Store, Unavailable
 from ..plugin import register
 from ..rows import ClaimRow, claim_key, typed
 from .ledger import Ledger, NotWritten, Rival, Written
@@ -41,7 +41,7 @@
 #: This attempt did not run; an earlier one with the key may have.
 STORE_DOWN = Unknown(
     Reason.store_down,
-    'Send it again with the same key when the platform is back.',
+    'Send it again with the same key when the store is back.',
 )
 IN_PROGRESS = Unknown(Reason.in_progress, claims.ASK_AGAIN)
 TOO_LATE = NotRun(
@@ -77,7 +77,7 @@
     def __init__(self, kernel: 'Kernel') -> None:
         """Start with no flight."""
         super().__init__(kernel)
-        self.platform = kernel.get(Platform)
+        self.store = kernel.get(Store)
         self.ledger = kernel.get(Ledger)
         self.flights: dict[str, Flight] = {}
         self.nursery: trio.Nursery | None = None
@@ -120,7 +120,7 @@
 
     async def look_up(self, key: str) -> ClaimRow | Unavailable | None:
         """Return the claim row of *key*, None if there is none."""
-        rows = await self.platform.read([claim_key(key)])
+        rows = await self.store.read([claim_key(key)])
         if isinstance(rows, Unavailable):
             return rows
         return typed(rows[0], ClaimRow) if rows[0].version else None
@@ -155,7 +155,7 @@
         runner: Runner,
         version: int,
     ) -> None:
-        retention = self.kernel.settings['platform']['claim_retention']
+        retention = self.kernel.settings['store']['claim_retention']
         row = claims.new_claim(
             flight.request,
             flight.attempt,
--- a/cyclamenshift/controls/configuration.py
+++ b/cyclamenshift/controls/configuration.py
@@ -20,13 +20,14 @@
 from ..decisions.budget import Refused
 from ..errors import ProtocolError, SettingsError
 from ..model import Vm
-from ..platform import (
+from ..store import (
     ABSENT,
     Check,
     Committed,
     Conflict,
-    Platform,
+    Store,
     Row,
+    Snapshot,
     Transaction,
     Unavailable,
     Uncertain,
@@ -34,10 +35,10 @@
 )
 from ..plugin import register
 from ..rows import (
-    BUDGET_PREFIX,
+    BUDGET_TABLE,
     CHANGES_KEY,
     HEAD_KEY,
-    VM_PREFIX,
+    VM_TABLE,
     BudgetRow,
     ChangesRow,
     HeadRow,
@@ -60,11 +61,11 @@
 SETTLE_DELAY_MS = 200
 
 STORE_DOWN = Refused(
-    'The platform can not be reached.',
+    'The store can not be reached.',
     'Try again when it is back; nothing was changed.',
 )
 UNSETTLED = Refused(
-    'The answer of the platform was lost, and it can not be asked now.',
+    'The answer of the store was lost, and it can not be asked now.',
     'Look at "cyclamenshift config status" before you apply again.',
 )
 
@@ -101,7 +102,7 @@
     def __init__(self, kernel: 'Kernel') -> None:
         """Start without a configuration."""
         super().__init__(kernel)
-        self.platform = kernel.get(Platform)
+        self.store = kernel.get(Store)
         self.in_force: fleets.CheckedFleet | None = None
         self.head: HeadRow | None = None
         self.head_version = ABSENT
@@ -131,7 +132,7 @@
         """Refresh now, and again with each poll or hint."""
         await self.refresh()
         task_status.started()
-        poll = self.kernel.settings['platform']['poll']
+        poll = self.kernel.settings['store']['poll']
         while True:
             delay = round(poll * (1 - JITTER * self._rng.random()))
             with self.clock.move_on_after(delay):
@@ -160,7 +161,7 @@
         checked = fleets.check(proposal.texts)
         body = msgspec.json.encode(proposal.texts)
         digest = xxhash.xxh128_hexdigest(body)
-        if not await self.platform.put_object(OBJECT_PREFIX + digest, body):
+        if not await self.store.put_object(OBJECT_PREFIX + digest, body):
             return STORE_DOWN
         read = await self._read_rows()
         if isinstance(read, Unavailable):
@@ -190,7 +191,7 @@
         }
 
     async def _refresh(self) -> None:
-        rows = await self.platform.read([HEAD_KEY, CHANGES_KEY])
+        rows = await self.store.read([HEAD_KEY, CHANGES_KEY])
         self.store_up = not isinstance(rows, Unavailable)
         if isinstance(rows, Unavailable):
             return
@@ -204,7 +205,7 @@
 
     async def _adopt(self, head: Row) -> bool:
         row = typed(head, HeadRow)
-        body = await self.platform.get_object(OBJECT_PREFIX + row['digest'])
+        body = await self.store.get_object(OBJECT_PREFIX + row['digest'])
         if isinstance(body, Unavailable):
             self.log.warning('Configuration %s is not there.', row['number'])
             return False
@@ -220,7 +221,7 @@
         return True
 
     async def _read_vms(self, changes_version: int) -> bool:
-        rows = await self.platform.scan(VM_PREFIX)
+        rows = await self.store.scan(VM_TABLE)
         if isinstance(rows, Unavailable):
             return False
         self.vm_rows = _vm_rows(rows)
@@ -248,9 +249,9 @@
         }
 
     async def _read_rows(self) -> _Read | Unavailable:
-        firsts = await self.platform.read([HEAD_KEY, CHANGES_KEY])
-        vms = await self.platform.scan(VM_PREFIX)
-        budgets = await self.platform.scan(BUDGET_PREFIX)
+        firsts = await self.store.read([HEAD_KEY, CHANGES_KEY])
+        vms = await self.store.scan(VM_TABLE)
+        budgets = await self.store.scan(BUDGET_TABLE)
         if isinstance(firsts, Unavailable):
             return firsts
         if isinstance(vms, Unavailable) or isinstance(budgets, Unavailable):
@@ -260,8 +261,7 @@
             head=typed(head, HeadRow) if head.version else None,
             vms=_vm_rows(vms),
             budgets={
-                row.key.removeprefix(BUDGET_PREFIX): typed(row, BudgetRow)
-                for row in budgets
+                row.key.name: typed(row, BudgetRow) for row in budgets.rows
             },
         )
         return _Read(rows, head, changes)
@@ -279,11 +279,11 @@
             ),
             writes=_writes(read.rows, accepted, head),
         )
-        result = await self.platform.commit(transaction)
+        result = await self.store.commit(transaction)
         tries = 1
         while isinstance(result, Uncertain) and tries < SETTLE_LIMIT:
             await self.clock.sleep(SETTLE_DELAY_MS)
-            result = await self.platform.commit(transaction)
+            result = await self.store.commit(transaction)
             tries += 1
         if isinstance(result, Committed):
             return InForce(head['number'], head['digest'])
@@ -293,7 +293,7 @@
         return STORE_DOWN if first_try else UNSETTLED
 
     async def _lost_race(self, head: HeadRow) -> InForce | Refused:
-        rows = await self.platform.read([HEAD_KEY])
+        rows = await self.store.read([HEAD_KEY])
         if isinstance(rows, Unavailable):
             return UNSETTLED
         present = typed(rows[0], HeadRow) if rows[0].version else None
@@ -306,8 +306,8 @@
         )
 
 
-def _vm_rows(rows: list[Row]) -> dict[str, VmRow]:
-    return {row.key.removeprefix(VM_PREFIX): typed(row, VmRow) for row in rows}
+def _vm_rows(scanned: Snapshot) -> dict[str, VmRow]:
+    return {row.key.name: typed(row, VmRow) for row in scanned.rows}
 
 
 def _writes(
--- a/cyclamenshift/controls/ledger.py
+++ b/cyclamenshift/controls/ledger.py
@@ -11,16 +11,16 @@
 
 from ..component import Dump
 from ..control import Control
-from ..platform import (
+from ..store import (
     ABSENT,
     Check,
     Committed,
     CommitResult,
     Conflict,
-    Platform,
+    Key,
+    Store,
     Row,
     Transaction,
-    Unavailable,
     Uncertain,
     Write,
 )
@@ -55,7 +55,7 @@
 class Entry:
     """One row to write, and its result once that is certain."""
 
-    def __init__(self, key: str, version: int, row: ClaimRow) -> None:
+    def __init__(self, key: Key, version: int, row: ClaimRow) -> None:
         """Write *row* at *key* if its version is still *version*."""
         self.key = key
         self.version = version
@@ -74,7 +74,7 @@
     """
     One task commits what has gathered while the last commit ran.
 
-    Two commits start at least ``platform.claim_interval`` apart, so that
+    Two commits start at least ``store.claim_interval`` apart, so that
     many entry VMs together stay within what the table can write.
     """
 
@@ -84,11 +84,11 @@
     def __init__(self, kernel: 'Kernel') -> None:
         """Start with nothing to write."""
         super().__init__(kernel)
-        self.platform = kernel.get(Platform)
+        self.store = kernel.get(Store)
         channel = trio.open_memory_channel[Entry](BACKLOG)
         self.pending = channel[0]
         self._entries = channel[1]
-        self.interval = kernel.settings['platform']['claim_interval']
+        self.interval = kernel.settings['store']['claim_interval']
         self.next_at = 0
         self.batches = 0
         self.rows_written = 0
@@ -113,7 +113,7 @@
 
     async def write(
         self,
-        key: str,
+        key: Key,
         version: int,
         row: ClaimRow,
     ) -> Written | Rival | NotWritten:
@@ -133,7 +133,7 @@
 
     def _gather(self, first: Entry) -> list[Entry]:
         batch = [first]
-        limit = self.kernel.settings['platform']['claim_batch']
+        limit = self.kernel.settings['store']['claim_batch']
         while len(batch) < limit:
             try:
                 batch.append(self._entries.receive_nowait())
@@ -143,7 +143,7 @@
 
     async def _commit(self, batch: list[Entry]) -> CommitResult:
         self.batches += 1
-        return await self.platform.commit(
+        return await self.store.commit(
             Transaction(
                 tuple(Check(entry.key, entry.version) for entry in batch),
                 tuple(Write(entry.key, entry.row) for entry in batch),
@@ -152,9 +152,7 @@
 
     async def _resolve(self, batch: list[Entry], result: CommitResult) -> None:
         while isinstance(result, Conflict):
-            moved = [entry for entry in batch if entry.key in result.keys]
-            batch = [entry for entry in batch if entry.key not in result.keys]
-            await self._compare(moved)
+            batch = _settle_moved(batch, result)
             if not batch:
                 return
             result = await self._commit(batch)
@@ -167,7 +165,7 @@
         for entry in batch:
             if isinstance(result, Committed):
                 self.rows_written += 1
-                entry.settle(Written(result.versions[entry.key]))
+                entry.settle(Written(result.version))
             else:
                 entry.settle(NotWritten())
 
@@ -191,16 +189,19 @@
             if isinstance(result, Committed):
                 self._tell([entry], result)
             elif isinstance(result, Conflict):
-                await self._compare([entry])
-
-    async def _compare(self, moved: list[Entry]) -> None:
-        rows: list[Row] | Unavailable = Unavailable('Not read yet.')
-        while isinstance(rows, Unavailable):
-            rows = await self.platform.read([entry.key for entry in moved])
-            if isinstance(rows, Unavailable):
-                await self.clock.sleep(SETTLE_DELAY_MS)
-        for entry, row in zip(moved, rows, strict=True):
-            entry.settle(_verdict(entry, row))
+                _settle_moved([entry], result)
+
+
+def _settle_moved(batch: list[Entry], conflict: Conflict) -> list[Entry]:
+    """Settle the entries whose rows have moved; return the others."""
+    rows = {row.key: row for row in conflict.rows}
+    rest = []
+    for entry in batch:
+        if rows[entry.key].version == entry.version:
+            rest.append(entry)
+        else:
+            entry.settle(_verdict(entry, rows[entry.key]))
+    return rest
 
 
 def _verdict(entry: Entry, row: Row) -> Written | Rival:
--- a/cyclamenshift/controls/membership.py
+++ b/cyclamenshift/controls/membership.py
@@ -14,25 +14,22 @@
 from ..control import Control
 from ..errors import ProtocolError
 from ..model import EntryVm
-from ..platform import (
+from ..store import (
     ABSENT,
     Check,
     Committed,
-    Platform,
+    Store,
     Row,
     Transaction,
     Unavailable,
     Write,
 )
 from ..plugin import register
-from ..rows import ENTRY_PREFIX, EntryRow, entry_key, typed
+from ..rows import ENTRY_TABLE, EntryRow, entry_key, typed
 
 if TYPE_CHECKING:
     from ..kernel import Kernel
 
-#: How many polls pass between two readings of the platform's list.
-LIST_EVERY = 5
-
 
 @register
 class Membership(Control):
@@ -44,7 +41,7 @@
     def __init__(self, kernel: 'Kernel') -> None:
         """Know only this entry VM."""
         super().__init__(kernel)
-        self.platform = kernel.get(Platform)
+        self.store = kernel.get(Store)
         entry = kernel.settings['entry']
         listen = kernel.settings['peers']
         self.own = EntryVm(
@@ -55,7 +52,6 @@
             incarnation=uuid.uuid4().hex,
         )
         self.registered: dict[str, EntryVm] = {}
-        self.listed_leaving: set[str] = set()
         self.version = ABSENT
         self.changed = trio.Event()
         self._hint = trio.Event()
@@ -67,16 +63,12 @@
         """Register, then follow the others with each poll."""
         await self.refresh()
         task_status.started()
-        poll = self.kernel.settings['platform']['poll']
-        polls = 0
+        poll = self.kernel.settings['store']['poll']
         while True:
             with self.clock.move_on_after(poll):
                 await self._hint.wait()
             self._hint = trio.Event()
             await self.refresh()
-            if polls % LIST_EVERY == 0:
-                await self._read_list()
-            polls += 1
 
     def hint(self, entry_id: str, incarnation: str) -> None:
         """Refresh now if a peer that greets is not known yet."""
@@ -88,11 +80,11 @@
         """Register if need be, and read the registrations."""
         if self.version == ABSENT and not self.kernel.draining:
             await self._register()
-        rows = await self.platform.scan(ENTRY_PREFIX)
-        if isinstance(rows, Unavailable):
+        scanned = await self.store.scan(ENTRY_TABLE)
+        if isinstance(scanned, Unavailable):
             return
         registered = {}
-        for row in rows:
+        for row in scanned.rows:
             entry = self._read_entry(row)
             if entry and entry.entry_id != self.own.entry_id:
                 registered[entry.entry_id] = entry
@@ -106,7 +98,7 @@
         if self.version == ABSENT:
             return
         key = entry_key(self.own.entry_id)
-        await self.platform.commit(
+        await self.store.commit(
             Transaction(
                 (Check(key, self.version),),
                 (Write(key, None),),
@@ -119,17 +111,15 @@
         return {
             'own': self.own._asdict(),
             'registered': sorted(self.registered),
-            'listed_leaving': sorted(self.listed_leaving),
         }
 
     def _read_entry(self, row: Row) -> EntryVm | None:
-        entry_id = row.key.removeprefix(ENTRY_PREFIX)
         try:
             fields = typed(row, EntryRow)
         except ProtocolError as error:
             self.log.error('%s', error)
             return None
-        return EntryVm(entry_id=entry_id, **fields)
+        return EntryVm(entry_id=row.key.name, **fields)
 
     async def _register(self) -> None:
         key = entry_key(self.own.entry_id)
@@ -140,13 +130,8 @@
             incarnation=self.own.incarnation,
         )
         transaction = Transaction((), (Write(key, row),))
-        result = await self.platform.commit(transaction)
+        result = await self.store.commit(transaction)
         if isinstance(result, Committed):
-            self.version = result.versions[key]
+            self.version = result.version
         else:
             self.log.warning('Not registered yet: %s.', type(result).__name__)
-
-    async def _read_list(self) -> None:
-        listed = await self.platform.list_vms()
-        if not isinstance(listed, Unavailable):
-            self.listed_leaving = {vm.vm_id for vm in listed if vm.leaving}
--- a/cyclamenshift/controls/pools.py
+++ b/cyclamenshift/controls/pools.py
@@ -20,11 +20,11 @@
 from ..endpoint import Endpoint
 from ..model import VmState
 from ..peer import Peer
-from ..platform import (
+from ..store import (
     ABSENT,
     Committed,
     Conflict,
-    Platform,
+    Store,
     Unavailable,
     Uncertain,
 )
@@ -68,7 +68,7 @@
     def __init__(self, kernel: 'Kernel') -> None:
         """See no VM off yet."""
         super().__init__(kernel)
-        self.platform = kernel.get(Platform)
+        self.store = kernel.get(Store)
         self.endpoint = kernel.get(Endpoint)
         self.peer = kernel.get(Peer)
         self.configuration = kernel.get(Configuration)
@@ -147,7 +147,7 @@
         in_force = self.configuration.in_force
         services = sorted(in_force.fleet['services']) if in_force else []
         keys = [HEAD_KEY, vm_key(vm_id), *map(budget_key, services)]
-        rows = await self.platform.read(keys)
+        rows = await self.store.read(keys)
         if isinstance(rows, Unavailable):
             return STORE_DOWN
         head, vm, *budgets = rows
@@ -167,7 +167,7 @@
         vm_id: str,
         planned: changes.Planned,
     ) -> Changed | budget.Refused | Conflict:
-        result = await self.platform.commit(planned.transaction)
+        result = await self.store.commit(planned.transaction)
         if isinstance(result, Uncertain):
             return await self._read_back(vm_id, planned.row)
         if isinstance(result, Committed):
@@ -183,12 +183,12 @@
         """Settle a lost answer: the epoch tells whether it took effect."""
         while True:
             await self.clock.sleep(LEAVE_POLL_MS)
-            rows = await self.platform.read([vm_key(vm_id)])
+            rows = await self.store.read([vm_key(vm_id)])
             if isinstance(rows, Unavailable):
                 continue
             if rows[0].version and typed(rows[0], VmRow) == row:
                 return Changed(vm_id, row)
-            return Conflict((vm_key(vm_id),))
+            return Conflict(tuple(rows))
 
     def _mine(self) -> list[str]:
         members = live_members(
--- a/cyclamenshift/decisions/changes.py
+++ b/cyclamenshift/decisions/changes.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from ..model import VmState
-from ..platform import Check, Row, Transaction, Write
+from ..store import Check, Row, Transaction, Write
 from ..rows import (
     CHANGES_KEY,
     BudgetRow,
--- a/cyclamenshift/endpoint.py
+++ b/cyclamenshift/endpoint.py
@@ -10,7 +10,7 @@
 
 from .component import Component
 from .model import Outcome, Request, Vm
-from .platform import Unavailable
+from .store import Unavailable
 
 
 class Endpoint(Component):
--- a/cyclamenshift/endpoints/http.py
+++ b/cyclamenshift/endpoints/http.py
@@ -18,7 +18,7 @@
 from ..clock import SECOND_MS
 from ..endpoint import Endpoint
 from ..model import Done, NotRun, Outcome, Reason, Request, Unknown, Vm
-from ..platform import Unavailable
+from ..store import Unavailable
 from ..plugin import register
 
 if TYPE_CHECKING:
--- a/cyclamenshift/endpoints/memory.py
+++ b/cyclamenshift/endpoints/memory.py
@@ -9,7 +9,7 @@
 
 from ..endpoint import Endpoint
 from ..model import Done, Outcome, Request, Vm
-from ..platform import Unavailable
+from ..store import Unavailable
 from ..plugin import register
 
 
--- a/cyclamenshift/frontends/callers.py
+++ b/cyclamenshift/frontends/callers.py
@@ -26,7 +26,7 @@
 from ..fleet import ServiceFields
 from ..frontend import Frontend, read_body
 from ..model import NotRun, Outcome, Reason, Request, Unknown
-from ..platform import Unavailable
+from ..store import Unavailable
 from ..plugin import register
 from .answers import OUTCOME, answer, problem, respond
 
@@ -124,7 +124,7 @@
             return problem(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 Reason.store_down,
-                'Ask again when the platform is back.',
+                'Ask again when the store is back.',
             )
         if row is None:
             return problem(
--- a/cyclamenshift/frontends/operators.py
+++ b/cyclamenshift/frontends/operators.py
@@ -20,9 +20,9 @@
 from ..errors import SettingsError
 from ..frontend import Frontend, read_body
 from ..metrics import TEXT_FORMAT
-from ..platform import Platform, Unavailable
+from ..store import Store, Unavailable
 from ..plugin import register
-from ..rows import BUDGET_PREFIX, BudgetRow, typed
+from ..rows import BUDGET_TABLE, BudgetRow, typed
 from .answers import problem
 
 if TYPE_CHECKING:
@@ -132,19 +132,14 @@
 
     async def show_pools(self) -> Response:
         """Return the budget of each service, as the table has it now."""
-        rows = await self.kernel.get(Platform).scan(BUDGET_PREFIX)
+        rows = await self.kernel.get(Store).scan(BUDGET_TABLE)
         if isinstance(rows, Unavailable):
             return problem(
                 HTTPStatus.SERVICE_UNAVAILABLE,
                 rows.reason,
-                'Try again when the platform is back.',
+                'Try again when the store is back.',
             )
-        return _json(
-            {
-                row.key.removeprefix(BUDGET_PREFIX): typed(row, BudgetRow)
-                for row in rows
-            }
-        )
+        return _json({row.key.name: typed(row, BudgetRow) for row in rows.rows})
 
     async def show_vms(self) -> Response:
         """Return the row of each VM, as this entry VM knows it."""
--- a/cyclamenshift/kernel.py
+++ b/cyclamenshift/kernel.py
@@ -22,7 +22,7 @@
 ComponentType = TypeVar('ComponentType', bound=Component)
 
 #: The packages whose modules register the plug-ins of this project.
-FAMILIES = ('platforms', 'endpoints', 'controls', 'peers', 'frontends')
+FAMILIES = ('stores', 'endpoints', 'controls', 'peers', 'frontends')
 
 log = get_logger('kernel')
 
--- a/cyclamenshift/metrics.py
+++ b/cyclamenshift/metrics.py
@@ -35,7 +35,7 @@
         )
         self.store_calls = self._counter(
             'store_calls_total',
-            'Calls of the platform table, by operation and result.',
+            'Calls of the store, by operation and result.',
         )
         self.queued = Gauge(
             'cyclamenshift_queued_requests',
--- a/cyclamenshift/rows.py
+++ b/cyclamenshift/rows.py
@@ -11,17 +11,17 @@
 
 from .errors import ProtocolError
 from .model import VmState
-from .platform import Row
+from .store import Key, Row
 
 #: The row that names the configuration in force.
-HEAD_KEY: Final = 'config/head'
+HEAD_KEY: Final = Key('config', 'head')
 #: The row whose version moves with every change of a VM.
-CHANGES_KEY: Final = 'fleet/changes'
-#: The prefixes of the other rows.
-VM_PREFIX: Final = 'vm/'
-BUDGET_PREFIX: Final = 'budget/'
-CLAIM_PREFIX: Final = 'claim/'
-ENTRY_PREFIX: Final = 'entry/'
+CHANGES_KEY: Final = Key('fleet', 'changes')
+#: The tables of the other rows.
+VM_TABLE: Final = 'vm'
+BUDGET_TABLE: Final = 'budget'
+CLAIM_TABLE: Final = 'claim'
+ENTRY_TABLE: Final = 'entry'
 
 
 class VmRow(TypedDict):
@@ -96,24 +96,24 @@
 RowType = TypeVar('RowType')
 
 
-def vm_key(vm_id: str) -> str:
+def vm_key(vm_id: str) -> Key:
     """Return the key of the row of a VM."""
-    return f'{VM_PREFIX}{vm_id}'
+    return Key(VM_TABLE, vm_id)
 
 
-def budget_key(service: str) -> str:
+def budget_key(service: str) -> Key:
     """Return the key of the row of a service's budget."""
-    return f'{BUDGET_PREFIX}{service}'
+    return Key(BUDGET_TABLE, service)
 
 
-def claim_key(key: str) -> str:
+def claim_key(key: str) -> Key:
     """Return the key of the claim row for an idempotency key."""
-    return f'{CLAIM_PREFIX}{key}'
+    return Key(CLAIM_TABLE, key)
 
 
-def entry_key(entry_id: str) -> str:
+def entry_key(entry_id: str) -> Key:
     """Return the key of the registration row of an entry VM."""
-    return f'{ENTRY_PREFIX}{entry_id}'
+    return Key(ENTRY_TABLE, entry_id)
 
 
 def typed(row: Row, shape: type[RowType]) -> RowType:
--- a/cyclamenshift/settings.py
+++ b/cyclamenshift/settings.py
@@ -58,8 +58,8 @@
     frame_limit: Size
 
 
-class PlatformSettings(TypedDict):
-    """The platform's table, object store and list of VMs."""
+class StoreSettings(TypedDict):
+    """The table and the objects that outlast every process."""
 
     plugin: Name
     address: str
@@ -84,7 +84,7 @@
     callers: CallerSettings
     operators: ListenSettings
     peers: PeerSettings
-    platform: PlatformSettings
+    store: StoreSettings
     endpoint: EndpointSettings
 
 
@@ -114,7 +114,7 @@
         'silence': 2_000,
         'frame_limit': 4_194_304,
     },
-    'platform': {
+    'store': {
         'plugin': 'memory',
         'address': '',
         'timeout': 2_000,
@@ -148,12 +148,12 @@
     """Return *given* over the defaults, checked."""
     merged = merge((Document(DEFAULTS, {}), given))
     settings = cast(Settings, schema.check(merged, Settings, {}))
-    platform = settings['platform']
-    if platform['plugin'] == 'http' and not platform['address']:
+    store = settings['store']
+    if store['plugin'] == 'http' and not store['address']:
         raise schema.fault(
             merged,
-            ('platform', 'plugin'),
-            'the http plug-in needs platform.address',
-            'Add the URL of the platform.',
+            ('store', 'plugin'),
+            'the http plug-in needs store.address',
+            'Add the URL of the store.',
         )
     return settings
--- a/cyclamenshift/startup.py
+++ b/cyclamenshift/startup.py
@@ -16,7 +16,7 @@
 from .endpoint import Endpoint
 from .frontend import Frontend
 from .peer import Peer
-from .platform import Platform
+from .store import Store
 
 #: The folder below the settings that holds the first configuration.
 FLEET_FOLDER: Final = 'fleet'
@@ -48,7 +48,7 @@
     """
     kernel.load_families()
     return [
-        plugin.find(Platform, chosen['platform']['plugin']),
+        plugin.find(Store, chosen['store']['plugin']),
         plugin.find(Endpoint, chosen['endpoint']['plugin']),
         plugin.find(Peer, chosen['peers']['plugin']),
         *plugin.members(Control),
--- a/cyclamenshift/platforms/__init__.py
+++ b/cyclamenshift/stores/__init__.py
@@ -1,5 +1,5 @@
 """
-cyclamenshift.platforms
+cyclamenshift.stores
 =======================
 
 The clients of the platform, found by name.
--- a/cyclamenshift/platforms/http.py
+++ b/cyclamenshift/stores/http.py
@@ -1,26 +1,28 @@
 """
-cyclamenshift.platforms.http
+cyclamenshift.stores.http
 ============================
 
-The platform over HTTP, with JSON bodies.
+A store over HTTP, with JSON bodies.
 """
 
 from collections.abc import Sequence
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any, TypedDict, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import httpx
 import msgspec
 import trio
 
 from ..clock import SECOND_MS
-from ..platform import (
+from ..store import (
     Committed,
     CommitResult,
     Conflict,
-    ListedVm,
-    Platform,
+    HistoryLost,
+    Key,
+    Store,
     Row,
+    Snapshot,
     Transaction,
     Uncertain,
     Unavailable,
@@ -32,32 +34,22 @@
 
 ResultType = TypeVar('ResultType')
 
-#: Errors after which the platform certainly saw nothing of the call.
+#: Errors after which the store certainly saw nothing of the call.
 NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
-class _Versions(TypedDict):
-    versions: dict[str, int]
-
-
-class _Moved(TypedDict):
-    conflicts: list[str]
-
-
 @register
-class HttpPlatform(Platform):
-    """Calls the platform at ``platform.address``."""
+class HttpStore(Store):
+    """Calls the store at ``store.address``."""
 
     name = 'http'
 
     def __init__(self, kernel: 'Kernel') -> None:
         """Prepare the client; connect with the first call."""
         super().__init__(kernel)
-        settings = kernel.settings['platform']
-        self.client = httpx.AsyncClient(
-            base_url=settings['address'],
-            timeout=settings['timeout'] / SECOND_MS,
-        )
+        settings = kernel.settings['store']
+        self.timeout = settings['timeout']
+        self.client = httpx.AsyncClient(base_url=settings['address'])
         self.last_error = ''
 
     async def run(
@@ -68,13 +60,29 @@
         async with self.client:
             await super().run(task_status)
 
-    async def read(self, keys: Sequence[str]) -> list[Row] | Unavailable:
+    async def read(self, keys: Sequence[Key]) -> list[Row] | Unavailable:
         """Return one row for each key, at one moment."""
-        return await self._rows('/table/read', {'keys': list(keys)})
+        return await self._ask('/table/read', {'keys': keys}, list[Row])
 
-    async def scan(self, prefix: str) -> list[Row] | Unavailable:
-        """Return the rows whose keys start with *prefix*."""
-        return await self._rows('/table/scan', {'prefix': prefix})
+    async def scan(self, table: str, part: str = '') -> Snapshot | Unavailable:
+        """Return the rows of one part of a table."""
+        query = {'table': table, 'part': part}
+        return await self._ask('/table/scan', query, Snapshot)
+
+    async def follow(
+        self,
+        table: str,
+        version: int,
+        wait: int,
+    ) -> Snapshot | HistoryLost | Unavailable:
+        """Return the rows of a table that changed after *version*."""
+        query = {'table': table, 'version': version, 'wait': wait}
+        response = await self._call('POST', '/table/follow', query, wait)
+        if not isinstance(response, httpx.Response):
+            return self._count('follow', Unavailable(response.reason))
+        if response.status_code == HTTPStatus.GONE:
+            return self._count('follow', HistoryLost())
+        return self._count('follow', _decode(response, Snapshot))
 
     async def commit(self, transaction: Transaction) -> CommitResult:
         """Apply *transaction* whole, or not at all."""
@@ -82,11 +90,11 @@
         if not isinstance(response, httpx.Response):
             return self._count('commit', response)
         if response.status_code == HTTPStatus.CONFLICT:
-            moved = msgspec.json.decode(response.content, type=_Moved)
-            return self._count('commit', Conflict(tuple(moved['conflicts'])))
+            conflict = msgspec.json.decode(response.content, type=Conflict)
+            return self._count('commit', conflict)
         if response.status_code == HTTPStatus.OK:
-            done = msgspec.json.decode(response.content, type=_Versions)
-            return self._count('commit', Committed(done['versions']))
+            done = msgspec.json.decode(response.content, type=Committed)
+            return self._count('commit', done)
         if response.status_code == HTTPStatus.SERVICE_UNAVAILABLE:
             return self._count('commit', Unavailable(response.text))
         return self._count('commit', Uncertain(response.text))
@@ -103,13 +111,6 @@
             return response.content
         return Unavailable(f'The object {name} could not be read.')
 
-    async def list_vms(self) -> list[ListedVm] | Unavailable:
-        """Return the lagging list of live and leaving VMs."""
-        response = await self._call('GET', '/vms', None)
-        if isinstance(response, httpx.Response) and response.is_success:
-            return msgspec.json.decode(response.content, type=list[ListedVm])
-        return Unavailable('The list of VMs could not be read.')
-
     def dump(self) -> dict[str, Any]:
         """Return the address and the last error."""
         return {
@@ -117,23 +118,32 @@
             'last_error': self.last_error,
         }
 
-    async def _rows(self, path: str, query: Any) -> list[Row] | Unavailable:
+    async def _ask(
+        self,
+        path: str,
+        query: Any,
+        shape: type[ResultType],
+    ) -> ResultType | Unavailable:
         response = await self._call('POST', path, query)
-        if isinstance(response, httpx.Response) and response.is_success:
-            self._count('read', None)
-            return msgspec.json.decode(response.content, type=list[Row])
-        reason = 'The table could not be read.'
-        return self._count('read', Unavailable(reason))
+        if isinstance(response, httpx.Response):
+            return self._count('read', _decode(response, shape))
+        return self._count('read', Unavailable(response.reason))
 
     async def _call(
         self,
         method: str,
         path: str,
         body: Any,
+        wait: int = 0,
     ) -> httpx.Response | Unavailable | Uncertain:
         raw = body if isinstance(body, bytes) else msgspec.json.encode(body)
         try:
-            return await self.client.request(method, path, content=raw)
+            return await self.client.request(
+                method,
+                path,
+                content=raw,
+                timeout=(self.timeout + wait) / SECOND_MS,
+            )
         except NOT_SENT as error:
             self.last_error = f'{type(error).__name__} on {path}'
             return Unavailable(self.last_error)
@@ -145,3 +155,12 @@
         labels = {'operation': operation, 'result': type(result).__name__}
         self.kernel.metrics.store_calls.inc(labels)
         return result
+
+
+def _decode(
+    response: httpx.Response,
+    shape: type[ResultType],
+) -> ResultType | Unavailable:
+    if response.is_success:
+        return msgspec.json.decode(response.content, type=shape)
+    return Unavailable(f'The store answered {response.status_code}.')
--- a/cyclamenshift/platforms/memory.py
+++ b/cyclamenshift/stores/memory.py
@@ -1,22 +1,26 @@
 """
-cyclamenshift.platforms.memory
-==============================
+cyclamenshift.stores.memory
+===========================
 
-A platform inside the process, for a first run and for tests.
+A store inside the process, for a first run and for tests.
 """
 
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
-from ..platform import (
+import trio
+
+from ..plugin import register
+from ..store import (
     CommitResult,
-    ListedVm,
-    Platform,
+    HistoryLost,
+    Key,
     Row,
+    Snapshot,
+    Store,
     Transaction,
     Unavailable,
 )
-from ..plugin import register
 from ..table import Table
 
 if TYPE_CHECKING:
@@ -24,7 +28,7 @@
 
 
 @register
-class MemoryPlatform(Platform):
+class MemoryStore(Store):
     """Keeps everything in this process and loses it at the stop."""
 
     name = 'memory'
@@ -35,19 +39,34 @@
         super().__init__(kernel)
         self.table = Table()
         self.objects: dict[str, bytes] = {}
-        self.listed: list[ListedVm] = []
+        self.changed = trio.Event()
 
-    async def read(self, keys: Sequence[str]) -> list[Row] | Unavailable:
+    async def read(self, keys: Sequence[Key]) -> list[Row] | Unavailable:
         """Return one row for each key."""
         return self.table.read(keys)
 
-    async def scan(self, prefix: str) -> list[Row] | Unavailable:
-        """Return the rows whose keys start with *prefix*."""
-        return self.table.scan(prefix)
+    async def scan(self, table: str, part: str = '') -> Snapshot | Unavailable:
+        """Return the rows of one part of a table."""
+        return self.table.scan(table, part)
+
+    async def follow(
+        self,
+        table: str,
+        version: int,
+        wait: int,
+    ) -> Snapshot | HistoryLost | Unavailable:
+        """Return the rows of a table that changed after *version*."""
+        with self.clock.move_on_after(wait):
+            while not _has_news(self.table.changes(table, version)):
+                await self.changed.wait()
+        return self.table.changes(table, version)
 
     async def commit(self, transaction: Transaction) -> CommitResult:
         """Apply *transaction* whole, or not at all."""
-        return self.table.commit(transaction)
+        result = self.table.commit(transaction)
+        self.changed.set()
+        self.changed = trio.Event()
+        return result
 
     async def put_object(self, name: str, body: bytes) -> bool:
         """Store *body*."""
@@ -60,6 +79,6 @@
             return Unavailable('There is no such object.')
         return self.objects[name]
 
-    async def list_vms(self) -> list[ListedVm] | Unavailable:
-        """Return the VMs that were listed by hand."""
-        return list(self.listed)
+
+def _has_news(changes: Snapshot | HistoryLost) -> bool:
+    return isinstance(changes, HistoryLost) or bool(changes.rows)
--- a/cyclamenshift/table.py
+++ b/cyclamenshift/table.py
@@ -7,59 +7,79 @@
 
 from collections.abc import Sequence
 
-from .platform import (
+from .store import (
     ABSENT,
     Committed,
     Conflict,
+    HistoryLost,
+    Key,
     Row,
+    Snapshot,
     Transaction,
     Write,
 )
 
 
 class Table:
-    """Rows by key; versions grow over the whole table and never repeat."""
+    """Rows by key; one counter gives each transaction its version."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self.rows: dict[str, Row] = {}
-        self.last_version = ABSENT
+        self.rows: dict[Key, Row] = {}
+        self.version = ABSENT
+        self.history: list[tuple[int, Row]] = []
+        self.history_from = ABSENT
 
-    def read(self, keys: Sequence[str]) -> list[Row]:
+    def read(self, keys: Sequence[Key]) -> list[Row]:
         """Return one row for each key."""
-        return [self.rows.get(key, Row(key, ABSENT, {})) for key in keys]
+        return [self.row(key) for key in keys]
 
-    def scan(self, prefix: str) -> list[Row]:
-        """Return the rows whose keys start with *prefix*, by key."""
-        return [
+    def scan(self, table: str, part: str = '') -> Snapshot:
+        """Return the rows of one part of a table, by name."""
+        found = (
             self.rows[key]
             for key in sorted(self.rows)
-            if key.startswith(prefix)
-        ]
+            if (key.table, key.part) == (table, part)
+        )
+        return Snapshot(tuple(found), self.version)
+
+    def changes(self, table: str, version: int) -> Snapshot | HistoryLost:
+        """Return the rows of *table* that changed after *version*."""
+        if version < self.history_from:
+            return HistoryLost()
+        changed = {
+            row.key: row
+            for changed_at, row in self.history
+            if changed_at > version and row.key.table == table
+        }
+        return Snapshot(tuple(changed.values()), self.version)
+
+    def forget_history(self) -> None:
+        """Keep no change up to now."""
+        self.history.clear()
+        self.history_from = self.version
 
     def commit(self, transaction: Transaction) -> Committed | Conflict:
         """Apply *transaction* if every check holds."""
-        moved = tuple(
-            check.key
+        if any(
+            self.row(check.key).version != check.version
             for check in transaction.checks
-            if self.version_of(check.key) != check.version
-        )
-        if moved:
-            return Conflict(moved)
-        return Committed(
-            {write.key: self._apply(write) for write in transaction.writes}
-        )
+        ):
+            keys = [check.key for check in transaction.checks]
+            return Conflict(tuple(self.read(keys)))
+        self.version += 1
+        for write in transaction.writes:
+            self._apply(write)
+        return Committed(self.version)
 
-    def version_of(self, key: str) -> int:
-        """Return the version of the row, ABSENT if it is not there."""
-        row = self.rows.get(key)
-        return row.version if row else ABSENT
+    def row(self, key: Key) -> Row:
+        """Return the row, of version ABSENT if it is not there."""
+        return self.rows.get(key, Row(key, ABSENT, {}))
 
-    def _apply(self, write: Write) -> int:
+    def _apply(self, write: Write) -> None:
         if write.fields is None:
             self.rows.pop(write.key, None)
-            return ABSENT
-        self.last_version += 1
-        row = Row(write.key, self.last_version, dict(write.fields))
-        self.rows[write.key] = row
-        return row.version
+        else:
+            fields = dict(write.fields)
+            self.rows[write.key] = Row(write.key, self.version, fields)
+        self.history.append((self.version, self.row(write.key)))
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -4,13 +4,14 @@
 
 Fakes at the interfaces, for several entry VMs in one trio run.
 
-They follow virtual time and fail by a script: the platform client loses
+They follow virtual time and fail by a script: the store client loses
 or refuses the calls that the script names, the network cuts or silences
 streams, and the workers keep a ledger of what they ran.
 """
 
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 from typing import NamedTuple, TypeVar
 
 import trio
@@ -42,11 +43,13 @@
     Vm,
 )
 from cyclamenshift.peers.stream import StreamPeer
-from cyclamenshift.platform import (
+from cyclamenshift.store import (
     CommitResult,
-    ListedVm,
-    Platform,
+    Store,
+    HistoryLost,
+    Key,
     Row,
+    Snapshot,
     Transaction,
     Unavailable,
     Uncertain,
@@ -58,9 +61,9 @@
 MemoryStream = trio.StapledStream[MemorySendStream, MemoryReceiveStream]
 ReadType = TypeVar('ReadType')
 
-#: How long a lost answer of the platform is waited for, ms.
+#: How long a lost answer of the store is waited for, ms.
 LOST_WAIT_MS = 2_000
-#: How long one call of the platform takes, ms.
+#: How long one call of the store takes, ms.
 STORE_CALL_MS = 3
 #: How long a worker runs a request that does not say, ms.
 RUN_MS = 10
@@ -68,33 +71,46 @@
 HOP_MS = 2
 
 
-class Store:
-    """The platform behind every client: its rows, and how it fails."""
+class SharedStore:
+    """The store behind every client: its rows, and how it fails."""
 
     def __init__(self) -> None:
         """Start empty and up."""
         self.table = Table()
         self.objects: dict[str, bytes] = {}
-        self.listed: list[ListedVm] = []
         self.down = False
         self.lose_answers = 0
         self.delay = STORE_CALL_MS
         self.cut_off: set[str] = set()
 
 
-class FakePlatform(Platform):
+class FakeStore(Store):
     """A client of the store that all entry VMs share."""
 
     name = 'fake'
-    store: Store
+    store: SharedStore
 
-    async def read(self, keys: Sequence[str]) -> list[Row] | Unavailable:
+    async def read(self, keys: Sequence[Key]) -> list[Row] | Unavailable:
         """Return one row for each key."""
         return await self._guard(lambda: self.store.table.read(keys))
 
-    async def scan(self, prefix: str) -> list[Row] | Unavailable:
-        """Return the rows whose keys start with *prefix*."""
-        return await self._guard(lambda: self.store.table.scan(prefix))
+    async def scan(self, table: str, part: str = '') -> Snapshot | Unavailable:
+        """Return the rows of one part of a table."""
+        return await self._guard(lambda: self.store.table.scan(table, part))
+
+    async def follow(
+        self,
+        table: str,
+        version: int,
+        wait: int,
+    ) -> Snapshot | HistoryLost | Unavailable:
+        """Return the changed rows; looks again with each call's time."""
+        until = self.clock.now() + wait
+        changes = partial(self.store.table.changes, table, version)
+        result = await self._guard(changes)
+        while _is_empty(result) and self.clock.now() < until:
+            result = await self._guard(changes)
+        return result
 
     async def commit(self, transaction: Transaction) -> CommitResult:
         """Apply *transaction*; its answer may be lost by the script."""
@@ -120,10 +136,6 @@
         """Return the object."""
         return await self._guard(lambda: self.store.objects[name])
 
-    async def list_vms(self) -> list[ListedVm] | Unavailable:
-        """Return the listed VMs."""
-        return await self._guard(lambda: list(self.store.listed))
-
     async def _guard(
         self,
         reader: Callable[[], ReadType],
@@ -295,7 +307,7 @@
     def __init__(self, nursery: trio.Nursery) -> None:
         """Start without an entry VM."""
         self.nursery = nursery
-        self.store = Store()
+        self.store = SharedStore()
         self.workers = Workers()
         self.network = Network()
         self.entries: dict[str, Entry] = {}
@@ -358,7 +370,7 @@
     def _members(self) -> list[type[Component]]:
         cluster = self
 
-        class BoundPlatform(FakePlatform):
+        class BoundStore(FakeStore):
             store = cluster.store
 
         class BoundEndpoint(FakeEndpoint):
@@ -378,7 +390,7 @@
                 """Close at once; nothing listens."""
 
         return [
-            BoundPlatform,
+            BoundStore,
             BoundEndpoint,
             BoundPeer,
             BoundCallers,
@@ -393,3 +405,7 @@
 ) -> None:
     with scope:
         await run(task_status)
+
+
+def _is_empty(result: Snapshot | HistoryLost | Unavailable) -> bool:
+    return isinstance(result, Snapshot) and not result.rows
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -51,7 +51,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         """Keep the settings and logs in *folder*."""
         self.folder = folder
-        self.platform = ''
+        self.store = ''
         self.workers: dict[str, Worker] = {}
         self.entries: dict[str, Entry] = {}
         self.processes: list[subprocess.Popen[bytes]] = []
@@ -73,10 +73,10 @@
             process.wait()
 
     def start_standins(self, *vm_ids: str) -> None:
-        """Start the platform's stand-in and one worker for each VM."""
-        platform = self._start_standin('platform')
+        """Start the store's stand-in and one worker for each VM."""
+        store = self._start_standin('store')
         workers = [self._start_standin('worker') for _vm in vm_ids]
-        self.platform = _address_of(platform)
+        self.store = _address_of(store)
         for vm_id, process in zip(vm_ids, workers, strict=True):
             worker = Worker(vm_id, process, _address_of(process))
             self.workers[vm_id] = worker
@@ -119,7 +119,7 @@
         }
         settings: dict[str, Any] = {
             'entry': {'id': entry_id, 'data_centre': 'dc-1'},
-            'platform': {'plugin': 'http', 'address': self.platform},
+            'store': {'plugin': 'http', 'address': self.store},
             'endpoint': {'plugin': 'http'},
         }
         for listening, port in ports.items():
--- a/tests/standins/platform.py
+++ b/tests/standins/store.py
@@ -1,10 +1,10 @@
 """
-tests.standins.platform
+tests.standins.store
 =======================
 
-The platform: a table, an object store and a lagging list of VMs.
+The store: a table and objects.
 
-Run as ``python -m tests.standins.platform``.  ``PUT /fault`` takes
+Run as ``python -m tests.standins.store``.  ``PUT /fault`` takes
 ``{"mode": MODE, "delay_ms": N}``: ``up``; ``down`` answers 503; ``slow``
 waits first; ``lost`` does the write, then waits and answers nothing of use.
 """
@@ -18,10 +18,12 @@
 from quart_trio import QuartTrio
 
 from cyclamenshift.frontend import read_body
-from cyclamenshift.platform import (
+from cyclamenshift.store import (
     Check,
     Committed,
     Conflict,
+    HistoryLost,
+    Key,
     Transaction,
     Write,
 )
@@ -33,20 +35,19 @@
 
 
 class Fault(TypedDict):
-    """How the platform fails now."""
+    """How the store fails now."""
 
     mode: str
     delay_ms: int
 
 
 class Store:
-    """Everything that the platform keeps."""
+    """Everything that the store keeps."""
 
     def __init__(self) -> None:
         """Start empty and up."""
         self.table = Table()
         self.objects: dict[str, bytes] = {}
-        self.listed: list[Any] = []
         self.fault = Fault(mode='up', delay_ms=0)
         self.calls = 0
         self.commits = 0
@@ -80,11 +81,20 @@
 
     @app.post('/table/read')
     async def read() -> Response:
-        return _json(store.table.read((await _body())['keys']))
+        keys = [Key(*key) for key in (await _body())['keys']]
+        return _json(store.table.read(keys))
 
     @app.post('/table/scan')
     async def scan() -> Response:
-        return _json(store.table.scan((await _body())['prefix']))
+        return _json(store.table.scan(**(await _body())))
+
+    @app.post('/table/follow')
+    async def follow() -> Response:
+        query = await _body()
+        changes = store.table.changes(query['table'], query['version'])
+        if isinstance(changes, HistoryLost):
+            return Response('gone', status=410)
+        return _json(changes)
 
     @app.post('/table/commit')
     async def commit() -> Response:
@@ -92,8 +102,8 @@
         store.commits += 1
         result = store.table.commit(
             Transaction(
-                tuple(Check(*check) for check in checks),
-                tuple(Write(*write) for write in writes),
+                tuple(Check(Key(*key), version) for key, version in checks),
+                tuple(Write(Key(*key), fields) for key, fields in writes),
             ),
         )
         if store.fault['mode'] == 'lost':
@@ -112,17 +122,6 @@
             return Response('none', status=404)
         return Response(store.objects[name])
 
-    @app.get('/vms')
-    async def vms() -> Response:
-        return _json(store.listed)
-
-    @app.put('/vms')
-    async def set_vms() -> Response:
-        store.listed = msgspec.json.decode(
-            await read_body(),
-        )
-        return Response('ok')
-
     return app
 
 
@@ -136,8 +135,8 @@
 
 def _result(result: Committed | Conflict) -> Response:
     if isinstance(result, Committed):
-        return _json({'versions': result.versions})
-    response = _json({'conflicts': result.keys})
+        return _json(result)
+    response = _json(result)
     response.status_code = 409
     return response
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -17,7 +17,7 @@
 
 from cyclamenshift.decisions import budget, changes
 from cyclamenshift.model import VmState
-from cyclamenshift.platform import Committed, Transaction, Write
+from cyclamenshift.store import Committed, Transaction, Write
 from cyclamenshift.rows import (
     CHANGES_KEY,
     HEAD_KEY,
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -20,7 +20,7 @@
 REQUESTS = '/v1/services/desk/requests'
 LOOK_UP = {'Request-Kind': 'look-up'}
 EMBEDDED = {
-    'platform': {'plugin': 'memory'},
+    'store': {'plugin': 'memory'},
     'endpoint': {'plugin': 'memory'},
     'callers': {'body_limit': 1_000, 'read_timeout': 300},
 }
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -19,8 +19,8 @@
 from trio.testing import MockClock
 
 from cyclamenshift.model import Done, NotRun, Outcome, Reason, Unknown
-
-from cyclamenshift.platform import Transaction, Write
+from cyclamenshift.rows import claim_key
+from cyclamenshift.store import Transaction, Write
 
 from .builders import booking
 from .standins.fakes import Cluster, Entry
@@ -154,7 +154,7 @@
 ) -> None:
     """A row that can't be read gives unknown, and the process goes on."""
     (entry,) = await cluster.start_all(1)
-    strange = Write('claim/key-1', {'state': 'strange'})
+    strange = Write(claim_key('key-1'), {'state': 'strange'})
     cluster.store.table.commit(Transaction((), (strange,)))
     assert isinstance(await ask(entry), Unknown)
     assert await ask(entry, 'key-2') == DONE
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -13,7 +13,8 @@
 from cyclamenshift.controls.configuration import InForce, Proposal
 from cyclamenshift.decisions.budget import Refused
 
-from cyclamenshift.platform import Transaction, Write
+from cyclamenshift.rows import CHANGES_KEY, entry_key, vm_key
+from cyclamenshift.store import Transaction, Write
 
 from .builders import fleet_texts
 from .standins.fakes import Cluster, Entry
@@ -131,9 +132,9 @@
     """A row that can't be read is left alone; what was known stays."""
     first, second = await cluster.start_all(2)
     strange = (
-        Write('entry/entry-9', {'strange': 1}),
-        Write('vm/desk-1', {'strange': 1}),
-        Write('fleet/changes', {'vms': ['desk-1']}),
+        Write(entry_key('entry-9'), {'strange': 1}),
+        Write(vm_key('desk-1'), {'strange': 1}),
+        Write(CHANGES_KEY, {'vms': ['desk-1']}),
     )
     cluster.store.table.commit(Transaction((), strange))
     await trio.sleep(5)
--- a/tests/test_freeze.py
+++ b/tests/test_freeze.py
@@ -13,9 +13,11 @@
 import httpx
 import trio
 
+from cyclamenshift.rows import claim_key
+
 from .standins.processes import Entry, Site, until
 
-#: How long the platform keeps an answer back, ms; less than its timeout.
+#: How long the store keeps an answer back, ms; less than its timeout.
 KEPT_BACK_MS = 1_500
 #: The time that each caller allows, ms.
 TIMEOUT_MS = 1_000
@@ -87,8 +89,8 @@
 
 async def _is_claimed(site: Site, client: httpx.AsyncClient) -> bool:
     response = await client.post(
-        f'{site.platform}/table/read',
-        json={'keys': ['claim/key-1']},
+        f'{site.store}/table/read',
+        json={'keys': [claim_key('key-1')]},
     )
     (row,) = response.json()
     return bool(row[1])
@@ -109,4 +111,4 @@
     delay_ms: int,
 ) -> None:
     fault = {'mode': mode, 'delay_ms': delay_ms}
-    await client.put(f'{site.platform}/fault', json=fault)
+    await client.put(f'{site.store}/fault', json=fault)
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -11,6 +11,7 @@
 from cyclamenshift.controls.pools import LEAVE_BOUND_MS, Changed
 from cyclamenshift.decisions.budget import Refused
 from cyclamenshift.model import VmState
+from cyclamenshift.rows import budget_key
 
 from .builders import request
 from .standins.fakes import Cluster, Entry
@@ -92,7 +93,7 @@
     (entry,) = await cluster.start_all(1, {'desk': 4})
     cluster.store.lose_answers = 1
     assert isinstance(await entry.pools.drain_vm('desk-1'), Changed)
-    (row,) = cluster.store.table.scan('budget/desk')
+    row = cluster.store.table.row(budget_key('desk'))
     assert row.fields['unavailable'] == 1
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -106,12 +106,12 @@
         ('entry:\n  name: x\n', '10-entry.yaml:2: entry.name: there is no'),
         ('peers:\n  port: 70000\n', '10-entry.yaml:2: peers.port: expected'),
         (
-            'platform:\n  plugin: http\n',
-            '10-entry.yaml:2: platform.plugin: the http plug-in needs',
+            'store:\n  plugin: http\n',
+            '10-entry.yaml:2: store.plugin: the http plug-in needs',
         ),
         (
-            'platform:\n  plugin: papyrus\n',
-            "There is no platform plug-in called 'papyrus'",
+            'store:\n  plugin: papyrus\n',
+            "There is no store plug-in called 'papyrus'",
         ),
     ],
 )
