--- a/cyclamenshift/component.py
+++ b/cyclamenshift/component.py
@@ -5,20 +5,37 @@
 The base of everything that the kernel starts and stops.
 """
 
-from typing import TYPE_CHECKING, Any, ClassVar, TypeAlias
+from typing import Any, ClassVar, Protocol, TypeAlias, TypeVar
 
 import trio
 
 from . import plugin
+from .clock import Clock
 from .logs import get_logger
+from .metrics import Metrics
+from .settings import Settings
 
-if TYPE_CHECKING:
-    from .kernel import Kernel
+ComponentType = TypeVar('ComponentType', bound='Component')
 
 #: The JSON value that a component gives for a state dump.
 Dump: TypeAlias = dict[str, Any]
 
 
+class Host(Protocol):
+    """What a component sees of the kernel that runs it."""
+
+    settings: Settings
+    clock: Clock
+    metrics: Metrics
+    draining: bool
+
+    def get(self, base: type[ComponentType]) -> ComponentType:
+        """Return the component that is a *base*."""
+
+    def dump(self) -> Dump:
+        """Return the state of every component by its name."""
+
+
 class Component(plugin.Plugin):
     """
     A plug-in with a life: started by stage, drained in reverse.
@@ -31,7 +48,7 @@
 
     stage: ClassVar[int]
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """Keep the kernel; start nothing yet."""
         self.kernel = kernel
         self.clock = kernel.clock
--- a/cyclamenshift/controls/claims.py
+++ b/cyclamenshift/controls/claims.py
@@ -13,11 +13,11 @@
 import uuid
 from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING, ClassVar, TypeAlias, cast
+from typing import ClassVar, TypeAlias, cast
 
 import trio
 
-from ..component import Dump
+from ..component import Dump, Host
 from ..control import Control
 from ..decisions import claims
 from ..errors import ProtocolError
@@ -27,9 +27,6 @@
 from ..rows import ClaimRow, claim_key, typed
 from .ledger import Ledger, NotWritten, Rival, Written
 
-if TYPE_CHECKING:
-    from ..kernel import Kernel
-
 #: Runs a claimed request to its outcome.
 Runner: TypeAlias = Callable[[Request], Awaitable[Outcome]]
 
@@ -74,7 +71,7 @@
     name = 'claims'
     stage: ClassVar[int] = 3
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """Start with no flight."""
         super().__init__(kernel)
         self.store = kernel.get(Store)
--- a/cyclamenshift/controls/configuration.py
+++ b/cyclamenshift/controls/configuration.py
@@ -7,19 +7,20 @@
 
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING, ClassVar, NamedTuple
+from typing import ClassVar, NamedTuple
 
 import msgspec
 import trio
 import xxhash
 
 from .. import fleet as fleets
-from ..component import Dump
+from ..component import Dump, Host
 from ..control import Control
 from ..decisions.acceptance import Accepted, FleetRows, accept
 from ..decisions.budget import Refused
 from ..errors import ProtocolError, SettingsError
 from ..model import Vm
+from ..news import Versions
 from ..store import (
     ABSENT,
     Check,
@@ -48,9 +49,6 @@
     vm_key,
 )
 
-if TYPE_CHECKING:
-    from ..kernel import Kernel
-
 #: The prefix of the names of stored configurations.
 OBJECT_PREFIX = 'config-'
 #: How far a poll may come early, as a share of its interval.
@@ -99,7 +97,7 @@
     name = 'configuration'
     stage: ClassVar[int] = 2
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """Start without a configuration."""
         super().__init__(kernel)
         self.store = kernel.get(Store)
@@ -140,11 +138,18 @@
             self._hint = trio.Event()
             await self.refresh()
 
-    def hint(self, number: int, changes: int) -> None:
+    def take_versions(self, entry_id: str, told: Versions) -> None:
         """Refresh soon if a peer knows of something newer."""
-        if number > self.number or changes > self.changes_version:
+        behind = self.changes_version < told.changes
+        if behind or self.number < told.number:
             self._hint.set()
 
+    def pool_of(self, service: str) -> str:
+        """Return the pool of *service*, empty if there is none."""
+        services = self.in_force.fleet['services'] if self.in_force else {}
+        known = services.get(service)
+        return known['pool'] if known else ''
+
     async def refresh(self) -> None:
         """Bring this process up to the rows in the table, if it can."""
         try:
--- a/cyclamenshift/controls/dispatcher.py
+++ b/cyclamenshift/controls/dispatcher.py
@@ -6,16 +6,22 @@
 """
 
 import random
-from functools import singledispatchmethod
-from typing import TYPE_CHECKING, ClassVar
+from functools import partial, singledispatchmethod
+from typing import ClassVar
 
 import trio
 
-from ..component import Dump
+from ..component import Dump, Host
 from ..control import Control
 from ..decisions import limits, membership, retries, routing
 from ..decisions.lanes import PoolQueue, Ticket
 from ..endpoint import Endpoint
+from ..forwarding import (
+    Forward,
+    answer,
+    ask_owner,
+    request_of,
+)
 from ..model import (
     Done,
     Load,
@@ -25,14 +31,13 @@
     Request,
     VmState,
 )
-from ..peer import Peer
+from ..peer import Body, Peer
+from ..news import Loads, Versions
 from ..plugin import register
 from .configuration import Configuration
+from .loads import News, PeerLoads
 from .membership import Membership
 
-if TYPE_CHECKING:
-    from ..kernel import Kernel
-
 #: What is taken off the time left when a request is forwarded, ms.
 FORWARD_MARGIN_MS = 20
 #: The owners are changing; another attempt finds the new one.
@@ -56,7 +61,7 @@
     name = 'dispatcher'
     stage: ClassVar[int] = 5
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """Own no worker yet."""
         super().__init__(kernel)
         self.configuration = kernel.get(Configuration)
@@ -73,6 +78,12 @@
         self.rng = random.Random(kernel.settings['entry']['id'])
         self.members = [self.membership.own]
         self.configuration.listeners.append(self.own_anew)
+        self.peer_loads = PeerLoads()
+        self.peer.answer(Forward, self._answer)
+        self.peer.listen_to(Loads, self.peer_loads.take)
+        self.peer.listen_to(Versions, self.configuration.take_versions)
+        self.peer.report(partial(News, self.configuration, self.queues))
+        self.peer.follow(self._notice_peer)
 
     async def run(
         self,
@@ -144,7 +155,7 @@
                 {vm_id: vm for vm_id, vm in owned.items() if vm.pool == pool}
             )
             self.pump(queue)
-        self.peer.tell_loads()
+        self.peer.hurry()
 
     def queue(self, pool: str) -> PoolQueue:
         """Return the queue of *pool*, made when it is first asked for."""
@@ -180,6 +191,14 @@
         for grant in queue.grant(self.clock.now()):
             self.grants[grant.ticket].set()
 
+    async def _answer(self, entry_id: str, asked: Forward) -> Body:
+        return answer(await self.serve(request_of(asked, self.clock.now())))
+
+    def _notice_peer(self, entry_id: str) -> None:
+        if entry_id not in self.peer.reachable():
+            self.peer_loads.forget(entry_id)
+        self.reconcile()
+
     def _again(self, outcome: Outcome, request: Request, attempt: int) -> bool:
         return (
             attempt < retries.ATTEMPT_LIMIT
@@ -189,7 +208,7 @@
         )
 
     async def _attempt(self, request: Request) -> Outcome:
-        pool = self._pool_of(request.service)
+        pool = self.configuration.pool_of(request.service)
         now = self.clock.now()
         route = routing.choose(
             self.queue(pool).load(now),
@@ -208,7 +227,7 @@
             for entry_id, slots in self.expected.get(pool, {}).items()
             if entry_id in reachable
         }
-        loads.update(self.peer.loads(pool))
+        loads.update(self.peer_loads.of(pool, reachable))
         return loads
 
     @singledispatchmethod
@@ -231,9 +250,11 @@
     ) -> Outcome:
         self.kernel.metrics.forwards.inc({'peer': route.entry_id})
         deadline = request.deadline - FORWARD_MARGIN_MS
-        outcome = await self.peer.forward(
+        outcome = await ask_owner(
+            self.peer,
             route.entry_id,
             request._replace(deadline=deadline),
+            self.clock.remaining(deadline),
         )
         if _refused_for(outcome, Reason.no_worker):
             return NOT_THE_OWNER
@@ -251,14 +272,8 @@
             limits.LONGEST_RETRY_AFTER_MS,
         )
 
-    def _pool_of(self, service: str) -> str:
-        in_force = self.configuration.in_force
-        if in_force is None or service not in in_force.fleet['services']:
-            return ''
-        return in_force.fleet['services'][service]['pool']
-
     async def _serve(self, request: Request) -> Outcome:
-        queue = self.queue(self._pool_of(request.service))
+        queue = self.queue(self.configuration.pool_of(request.service))
         refused = self._admit(queue, request)
         if refused:
             return refused
--- a/cyclamenshift/controls/ledger.py
+++ b/cyclamenshift/controls/ledger.py
@@ -5,11 +5,11 @@
 Writes claim rows, many in one transaction, until the result is certain.
 """
 
-from typing import TYPE_CHECKING, ClassVar, NamedTuple
+from typing import ClassVar, NamedTuple
 
 import trio
 
-from ..component import Dump
+from ..component import Dump, Host
 from ..control import Control
 from ..store import (
     ABSENT,
@@ -27,9 +27,6 @@
 from ..plugin import register
 from ..rows import ClaimRow
 
-if TYPE_CHECKING:
-    from ..kernel import Kernel
-
 #: The wait before a lost answer is asked for again, ms.
 SETTLE_DELAY_MS = 100
 #: How many writes may wait for the next transaction.
@@ -81,7 +78,7 @@
     name = 'ledger'
     stage: ClassVar[int] = 2
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """Start with nothing to write."""
         super().__init__(kernel)
         self.store = kernel.get(Store)
--- a/cyclamenshift/controls/membership.py
+++ b/cyclamenshift/controls/membership.py
@@ -6,11 +6,11 @@
 """
 
 import uuid
-from typing import TYPE_CHECKING, ClassVar
+from typing import ClassVar
 
 import trio
 
-from ..component import Dump
+from ..component import Dump, Host
 from ..control import Control
 from ..errors import ProtocolError
 from ..model import EntryVm
@@ -27,9 +27,6 @@
 from ..plugin import register
 from ..rows import ENTRY_TABLE, EntryRow, entry_key, typed
 
-if TYPE_CHECKING:
-    from ..kernel import Kernel
-
 
 @register
 class Membership(Control):
@@ -38,7 +35,7 @@
     name = 'membership'
     stage: ClassVar[int] = 3
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """Know only this entry VM."""
         super().__init__(kernel)
         self.store = kernel.get(Store)
--- a/cyclamenshift/controls/pools.py
+++ b/cyclamenshift/controls/pools.py
@@ -9,11 +9,11 @@
 a step twice changes nothing.
 """
 
-from typing import TYPE_CHECKING, ClassVar, NamedTuple
+from typing import ClassVar, NamedTuple
 
 import trio
 
-from ..component import Dump
+from ..component import Dump, Host
 from ..control import Control
 from ..decisions import budget, changes
 from ..decisions.membership import live_members, owner_of
@@ -40,9 +40,6 @@
 from .configuration import STORE_DOWN, Configuration
 from .membership import Membership
 
-if TYPE_CHECKING:
-    from ..kernel import Kernel
-
 #: How often a change that met another one is tried again.
 RACE_LIMIT = 8
 #: How long every entry VM may still send to a VM that leaves, ms.
@@ -65,7 +62,7 @@
     name = 'pools'
     stage: ClassVar[int] = 5
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """See no VM off yet."""
         super().__init__(kernel)
         self.store = kernel.get(Store)
--- a/cyclamenshift/endpoints/http.py
+++ b/cyclamenshift/endpoints/http.py
@@ -9,21 +9,19 @@
 """
 
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final, TypedDict
+from typing import Final, TypedDict
 
 import httpx
 import msgspec
 import trio
 
+from ..component import Host
 from ..clock import SECOND_MS
 from ..endpoint import Endpoint
 from ..model import Done, NotRun, Outcome, Reason, Request, Unknown, Vm
 from ..store import Unavailable
 from ..plugin import register
 
-if TYPE_CHECKING:
-    from ..kernel import Kernel
-
 #: Errors before the first byte of the request was written.
 NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 #: The header that carries the request id both ways.
@@ -54,7 +52,7 @@
 
     name = 'http'
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """Prepare both clients; connect with the first request."""
         super().__init__(kernel)
         settings = kernel.settings['endpoint']
--- a/cyclamenshift/frontend.py
+++ b/cyclamenshift/frontend.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Awaitable, Callable
 from functools import partial
-from typing import TYPE_CHECKING, Any, ClassVar, cast
+from typing import Any, ClassVar, cast
 
 import quart
 import trio
@@ -16,12 +16,9 @@
 from quart_trio import QuartTrio
 
 from .clock import SECOND_MS
-from .component import Component
+from .component import Component, Host
 from .errors import StartError
-
-if TYPE_CHECKING:
-    from .kernel import Kernel
-    from .settings import ListenSettings
+from .settings import ListenSettings
 
 #: How much longer than the grace period the server waits itself, ms.
 GRACE_MARGIN_MS = 5_000
@@ -35,7 +32,7 @@
     kind = 'frontend'
     stage: ClassVar[int] = 6
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """Create the application; listen when run."""
         super().__init__(kernel)
         self.app = QuartTrio(self.name)
@@ -46,7 +43,7 @@
 
     async def listen(
         self,
-        settings: 'ListenSettings',
+        settings: ListenSettings,
         task_status: trio.TaskStatus[None],
     ) -> None:
         """
--- a/cyclamenshift/frontends/callers.py
+++ b/cyclamenshift/frontends/callers.py
@@ -7,7 +7,7 @@
 
 import uuid
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 import quart
 import trio
@@ -18,6 +18,7 @@
     RequestTimeout,
 )
 
+from ..component import Host
 from ..clock import SECOND_MS
 from ..controls.claims import Claims
 from ..controls.configuration import Configuration
@@ -30,9 +31,6 @@
 from ..plugin import register
 from .answers import OUTCOME, answer, problem, respond
 
-if TYPE_CHECKING:
-    from ..kernel import Kernel
-
 #: The longest idempotency key, in characters.
 KEY_LIMIT: Final = 200
 #: The kind of work of a request that names none.
@@ -58,7 +56,7 @@
 
     name = 'callers'
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """Set the routes and the bounds of bodies."""
         super().__init__(kernel)
         self.settings = kernel.settings['callers']
--- a/cyclamenshift/frontends/operators.py
+++ b/cyclamenshift/frontends/operators.py
@@ -7,12 +7,13 @@
 
 from functools import singledispatchmethod
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any, TypedDict, TypeVar
+from typing import Any, TypedDict, TypeVar
 
 import msgspec
 import trio
 from quart import Response
 
+from ..component import Host
 from ..controls.configuration import Configuration, InForce, Proposal
 from ..controls.dispatcher import Dispatcher
 from ..controls.pools import Changed, Pools
@@ -25,9 +26,6 @@
 from ..rows import BUDGET_TABLE, BudgetRow, typed
 from .answers import problem
 
-if TYPE_CHECKING:
-    from ..kernel import Kernel
-
 ShapeType = TypeVar('ShapeType')
 
 
@@ -52,7 +50,7 @@
 
     name = 'operators'
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """Set the routes."""
         super().__init__(kernel)
         self.settings = kernel.settings['operators']
--- a/cyclamenshift/kernel.py
+++ b/cyclamenshift/kernel.py
@@ -6,20 +6,15 @@
 """
 
 from collections.abc import Sequence
-from typing import TYPE_CHECKING, TypeVar
 
 import trio
 
 from . import plugin
 from .clock import Clock
-from .component import Component, Dump
+from .component import Component, ComponentType, Dump
 from .logs import get_logger
 from .metrics import Metrics
-
-if TYPE_CHECKING:
-    from .settings import Settings
-
-ComponentType = TypeVar('ComponentType', bound=Component)
+from .settings import Settings
 
 #: The packages whose modules register the plug-ins of this project.
 FAMILIES = ('stores', 'endpoints', 'controls', 'peers', 'frontends')
@@ -34,7 +29,7 @@
     Components find each other through ``get``; none is global.
     """
 
-    def __init__(self, settings: 'Settings', clock: Clock) -> None:
+    def __init__(self, settings: Settings, clock: Clock) -> None:
         """Keep *settings* and *clock*; components are added next."""
         self.settings = settings
         self.clock = clock
@@ -115,7 +110,7 @@
 
 
 def build(
-    settings: 'Settings',
+    settings: Settings,
     clock: Clock,
     members: Sequence[type[Component]],
 ) -> Kernel:
--- a/cyclamenshift/peer.py
+++ b/cyclamenshift/peer.py
@@ -2,17 +2,28 @@
 cyclamenshift.peer
 ==================
 
-The base of the streams between entry VMs, and their messages.
+The base of the streams between entry VMs, and the messages on them.
+
+What a peer asks for, answers or tells is a body: a NamedTuple that its
+module enters with ``body``.  Components take bodies by type.
 """
 
 import abc
-from typing import ClassVar, NamedTuple, TypeAlias
+from collections.abc import Awaitable, Callable
+from typing import Any, ClassVar, Final, NamedTuple, TypeAlias, TypeVar
 
 from .component import Component
-from .model import Load, Outcome, Reason, Request
+from .errors import PluginError
 
 #: The version of the messages; a peer of another version is refused.
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
+
+#: A registered NamedTuple.
+Body: TypeAlias = tuple[Any, ...]
+BodyType = TypeVar('BodyType', bound=Body)
+
+#: The registered types of body, by their name on the wire.
+BODIES: Final[dict[str, type[Body]]] = {}
 
 
 class Greeting(NamedTuple):
@@ -24,77 +35,82 @@
 
 
 class Heartbeat(NamedTuple):
-    """
-    A sign of life, with what the sender knows and offers.
+    """A sign of life, with the sender's news where it has some."""
 
-    ``number`` is the configuration in force and ``changes`` the version
-    of the last change of a VM; a peer that is behind refreshes at once.
-    ``loads`` are those that changed since the last one on this connection.
-    """
+    news: tuple[Body, ...]
 
-    number: int
-    changes: int
-    loads: tuple[Load, ...]
 
+class Ask(NamedTuple):
+    """A question that wants a ``Reply`` with the same number."""
 
-class Forward(NamedTuple):
-    """A request for the receiver's workers; ``remaining`` is in ms."""
+    number: int
+    body: Body
 
-    request_id: str
-    service: str
-    work: str
-    body: bytes
-    content_type: str
-    remaining: int
-    repeatable: bool
-    key: str
 
+class Reply(NamedTuple):
+    """The answer to an ``Ask``."""
 
-class AnswerDone(NamedTuple):
-    """The whole answer of the endpoint."""
+    number: int
+    body: Body
 
-    request_id: str
-    status: int
-    content_type: str
-    body: bytes
 
+class Withdraw(NamedTuple):
+    """The sender no longer waits for the reply."""
 
-class AnswerNotRun(NamedTuple):
-    """The forwarded request did not run and will not."""
+    number: int
 
-    request_id: str
-    reason: Reason
-    remedy: str
-    retry_after: int
 
+class Tell(NamedTuple):
+    """A body that wants no reply."""
 
-class AnswerUnknown(NamedTuple):
-    """The forwarded request may have run."""
+    body: Body
 
-    request_id: str
-    reason: Reason
-    remedy: str
 
+class Leaving(NamedTuple):
+    """The sender stops; it takes no more questions."""
 
-class Withdraw(NamedTuple):
-    """The sender no longer waits for the answer."""
 
-    request_id: str
+class LeavingSeen(NamedTuple):
+    """The sender asks nothing more on this connection."""
 
 
-class Leaving(NamedTuple):
-    """The sender stops; it takes no more forwards."""
+class NoReply(NamedTuple):
+    """
+    A question without an answer.
 
+    ``sent`` tells whether the peer may have read it.
+    """
 
-class LeavingSeen(NamedTuple):
-    """The sender forwards nothing more on this connection."""
+    sent: bool
+    reason: str
 
 
-Answer: TypeAlias = AnswerDone | AnswerNotRun | AnswerUnknown
 Message: TypeAlias = (
-    Greeting | Heartbeat | Forward | Answer | Withdraw | Leaving | LeavingSeen
+    Greeting | Heartbeat | Ask | Reply | Withdraw | Tell | Leaving | LeavingSeen
 )
 
+#: Answers a question; the first argument is the id of the peer that asks.
+Answerer: TypeAlias = Callable[[str, Any], Awaitable[Body]]
+#: Takes what a peer tells or has as news.
+Listener: TypeAlias = Callable[[str, Any], None]
+#: Gives the news for one connection each time it is called.
+Reporter: TypeAlias = Callable[[], tuple[Body, ...]]
+
+
+def body(shape: type[BodyType]) -> type[BodyType]:
+    """
+    Enter a type of body under the name of its class; a class decorator.
+
+    A name once given stays.  Raises PluginError when it is taken.
+    """
+    present = BODIES.setdefault(shape.__name__, shape)
+    if present is not shape:
+        raise PluginError(
+            f'There is a body called {shape.__name__} already.',
+            f'Rename one in {shape.__module__} or {present.__module__}.',
+        )
+    return shape
+
 
 class Peer(Component):
     """The streams to all other entry VMs."""
@@ -107,13 +123,34 @@
         """Return the ids of the peers heard from lately, not leaving."""
 
     @abc.abstractmethod
-    def loads(self, pool: str) -> dict[str, Load]:
-        """Return what the reachable peers' workers of *pool* offer."""
+    async def ask(
+        self,
+        entry_id: str,
+        question: Body,
+        timeout: int,
+    ) -> Body | NoReply:
+        """Return a peer's answer to *question*, waiting *timeout* ms."""
+
+    @abc.abstractmethod
+    def tell(self, entry_id: str, told: Body) -> bool:
+        """Send *told*; return whether there is a connection for it."""
+
+    @abc.abstractmethod
+    def answer(self, shape: type[Body], answerer: Answerer) -> None:
+        """Let *answerer* answer the questions of type *shape*."""
+
+    @abc.abstractmethod
+    def listen_to(self, shape: type[Body], listener: Listener) -> None:
+        """Give *listener* what is told and the news of type *shape*."""
+
+    @abc.abstractmethod
+    def report(self, factory: Callable[[], Reporter]) -> None:
+        """Let a reporter that *factory* makes give each connection's news."""
 
     @abc.abstractmethod
-    def tell_loads(self) -> None:
-        """Send the loads now, because the owned workers changed."""
+    def follow(self, watcher: Callable[[str], None]) -> None:
+        """Call *watcher* with the id of a peer that comes, leaves or goes."""
 
     @abc.abstractmethod
-    async def forward(self, entry_id: str, request: Request) -> Outcome:
-        """Let a peer's worker run *request*; return the exact outcome."""
+    def hurry(self) -> None:
+        """Send the news now, and not with the next heartbeat."""
--- /dev/null
+++ b/cyclamenshift/peers/exchange.py
@@ -0,0 +1,89 @@
+"""
+cyclamenshift.peers.exchange
+============================
+
+What every connection of one process shares: who takes which body.
+"""
+
+from collections.abc import Callable
+
+from trio.abc import Stream
+
+from ..clock import Clock
+from ..component import Host
+from ..errors import ProtocolError
+from ..logs import PrefixLogger
+from ..model import EntryVm
+from ..peer import (
+    PROTOCOL_VERSION,
+    Answerer,
+    Body,
+    Greeting,
+    Listener,
+    Message,
+    Reporter,
+)
+from .connection import Connection, Meter, out_of_turn
+
+
+class Exchange:
+    """The answerers, listeners and reporters of one process."""
+
+    def __init__(self, host: Host, own: EntryVm, log: PrefixLogger) -> None:
+        """Greet peers as *own*; take no body yet."""
+        self.host = host
+        self.own = own
+        self.log = log
+        self.clock: Clock = host.clock
+        self.settings = host.settings['peers']
+        self.meter = Meter()
+        self.answerers: dict[type[Body], Answerer] = {}
+        self.listeners: dict[type[Body], list[Listener]] = {}
+        self.reporters: list[Callable[[], Reporter]] = []
+        self.watchers: list[Callable[[str], None]] = []
+
+    def connect(self, stream: Stream) -> Connection:
+        """Return the connection over *stream*."""
+        return Connection(stream, self.clock, self.settings, self.meter)
+
+    def greeting(self) -> Greeting:
+        """Return the first message on each connection."""
+        own = self.own
+        return Greeting(PROTOCOL_VERSION, own.entry_id, own.incarnation)
+
+    def check_greeting(
+        self,
+        message: Message,
+        expected: EntryVm | None,
+    ) -> Greeting:
+        """Return the greeting; ProtocolError unless it is as *expected*."""
+        if not isinstance(message, Greeting):
+            raise ProtocolError('A peer did not greet.', 'Check peers.port.')
+        if message.version != PROTOCOL_VERSION:
+            raise ProtocolError(
+                f'A peer speaks version {message.version}.',
+                f'Upgrade both entry VMs to version {PROTOCOL_VERSION}.',
+            )
+        if expected and message.incarnation != expected.incarnation:
+            raise ProtocolError(
+                f'{expected.entry_id} is another process now.',
+                'Nothing to do; its new registration is read soon.',
+            )
+        return message
+
+    def answerer(self, question: Body) -> Answerer:
+        """Return who answers *question*; ProtocolError for nobody."""
+        try:
+            return self.answerers[type(question)]
+        except KeyError:
+            raise out_of_turn(question) from None
+
+    def take(self, entry_id: str, told: Body) -> None:
+        """Give *told* to its listeners; news that nobody wants is dropped."""
+        for listener in self.listeners.get(type(told), ()):
+            listener(entry_id, told)
+
+    def notice(self, entry_id: str) -> None:
+        """Tell the watchers that the standing of a peer has changed."""
+        for watcher in self.watchers:
+            watcher(entry_id)
--- a/cyclamenshift/peers/frames.py
+++ b/cyclamenshift/peers/frames.py
@@ -4,48 +4,50 @@
 
 The encoding of peer messages: length-bounded frames of msgpack arrays.
 
-A frame is a msgpack array: the tag of the message, then its fields.
+A frame is a msgpack array: the tag of the message, then its fields.  A
+body inside a message is such an array, with its name for the tag.
 """
 
 from collections.abc import Iterator
-from typing import Any, cast
+from functools import singledispatch
+from typing import Any, Final, cast
 
 import msgpack
 import msgspec
 
 from ..errors import ProtocolError
 from ..peer import (
-    AnswerDone,
-    AnswerNotRun,
-    AnswerUnknown,
-    Forward,
+    BODIES,
+    Ask,
+    Body,
     Greeting,
     Heartbeat,
     Leaving,
     LeavingSeen,
     Message,
+    Reply,
+    Tell,
     Withdraw,
 )
 
 #: The tag of each type of message; a number once given stays.
-TAGS: dict[type[Message], int] = {
+TAGS: Final[dict[type[Message], int]] = {
     Greeting: 1,
     Heartbeat: 2,
-    Forward: 3,
-    AnswerDone: 4,
-    AnswerNotRun: 5,
-    AnswerUnknown: 6,
+    Ask: 3,
+    Reply: 4,
+    Tell: 5,
     Withdraw: 7,
     Leaving: 8,
     LeavingSeen: 9,
 }
 
-_TYPES = {tag: shape for shape, tag in TAGS.items()}
+_TYPES: Final = {tag: shape for shape, tag in TAGS.items()}
 
 
 def encode(message: Message) -> bytes:
     """Return the frame of *message*."""
-    frame = msgpack.packb((TAGS[type(message)], *message))
+    frame = msgpack.packb((TAGS[type(message)], *_fields(message)))
     return cast(bytes, frame)
 
 
@@ -76,14 +78,54 @@
             raise _unknown(broken) from broken
 
 
+@singledispatch
+def _fields(message: Message) -> tuple[Any, ...]:
+    return tuple(message)
+
+
+@_fields.register(Ask)
+@_fields.register(Reply)
+def _numbered_fields(message: Ask | Reply) -> tuple[Any, ...]:
+    return (message.number, _pack(message.body))
+
+
+@_fields.register
+def _tell_fields(message: Tell) -> tuple[Any, ...]:
+    return (_pack(message.body),)
+
+
+@_fields.register
+def _heartbeat_fields(message: Heartbeat) -> tuple[Any, ...]:
+    return (tuple(map(_pack, message.news)),)
+
+
+def _pack(body: Body) -> tuple[Any, ...]:
+    return (type(body).__name__, *body)
+
+
 def _decode(frame: Any) -> Message:
     try:
         tag, *fields = frame
-        return msgspec.convert(tuple(fields), _TYPES[tag])
+        return cast(Message, _build(_TYPES[tag], fields))
     except (TypeError, ValueError, KeyError) as error:
         raise _unknown(error) from error
 
 
+def _build(shape: type[Message], fields: list[Any]) -> Any:
+    if shape is Heartbeat:
+        return Heartbeat(tuple(map(_unpack, *fields)))
+    if shape in {Ask, Reply, Tell}:
+        *number, packed = fields
+        numbered = msgspec.convert(number, list[int])
+        return cast(Any, shape)(*numbered, _unpack(packed))
+    return msgspec.convert(tuple(fields), shape)
+
+
+def _unpack(packed: Any) -> Body:
+    name, *fields = packed
+    return msgspec.convert(tuple(fields), BODIES[name])
+
+
 def _unknown(error: Exception) -> ProtocolError:
     return ProtocolError(
         f'A peer sent a message of no known shape: {error!r}.',
--- a/cyclamenshift/peers/link.py
+++ b/cyclamenshift/peers/link.py
@@ -5,83 +5,81 @@
 The dialling side: one task for each peer, over all its connections.
 """
 
+import itertools
+from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING
+from typing import TypeAlias
 
 import trio
+from trio.abc import Stream
 
 from ..clock import SECOND_MS
 from ..errors import ProtocolError
-from ..model import (
-    EntryVm,
-    Load,
-    NotRun,
-    Outcome,
-    Reason,
-    Request,
-    Unknown,
-)
+from ..model import EntryVm
 from ..peer import (
-    Answer,
-    AnswerDone,
-    AnswerNotRun,
-    AnswerUnknown,
-    Forward,
+    Ask,
+    Body,
     Heartbeat,
     Leaving,
     LeavingSeen,
     Message,
+    NoReply,
+    Reply,
+    Tell,
     Withdraw,
 )
-from .connection import LOST, Connection, out_of_turn, outcome_of
-
-if TYPE_CHECKING:
-    from .stream import StreamPeer
+from .connection import LOST, Connection, out_of_turn
+from .exchange import Exchange
 
 #: The wait before a lost peer is dialled again, ms.
 REDIAL_MS = 200
-#: How much longer than the deadline an answer may take on its way, ms.
-ANSWER_ALLOWANCE_MS = 100
 
-PEER_LOST = Unknown(
-    Reason.peer_lost,
-    'Ask for the outcome by its idempotency key before trying again.',
-)
-OWNER_LEFT = NotRun(Reason.peer_lost, 'Try again; an owner has left.')
+#: Opens a stream to a peer; raises OSError.
+Dialler: TypeAlias = Callable[[EntryVm], Awaitable[Stream]]
+
+NOT_CONNECTED = NoReply(sent=False, reason='not connected')
+LEFT = NoReply(sent=True, reason='connection lost')
+SILENT = NoReply(sent=True, reason='no reply in time')
 
 
 class Call:
-    """A forwarded request that waits for its answer."""
+    """A question that waits for its reply."""
 
     def __init__(self) -> None:
-        """Start without an answer."""
-        self.outcome: Outcome = PEER_LOST
+        """Start without a reply."""
+        self.reply: Body | NoReply = SILENT
         self.settled = trio.Event()
 
-    def settle(self, outcome: Outcome) -> None:
-        """Give the answer to the task that waits."""
-        self.outcome = outcome
+    def settle(self, reply: Body | NoReply) -> None:
+        """Give the reply to the task that waits."""
+        self.reply = reply
         self.settled.set()
 
 
 class Link:
     """What is known of one peer, and the task that keeps it connected."""
 
-    def __init__(self, peer: 'StreamPeer', entry: EntryVm) -> None:
+    def __init__(
+        self,
+        exchange: Exchange,
+        entry: EntryVm,
+        dialler: Dialler,
+    ) -> None:
         """Start unconnected."""
-        self.peer = peer
-        self.clock = peer.clock
+        self.exchange = exchange
+        self.clock = exchange.clock
         self.entry = entry
+        self.dialler = dialler
         self.connection: Connection | None = None
-        self.loads: dict[str, Load] = {}
-        self.calls: dict[str, Call] = {}
+        self.calls: dict[int, Call] = {}
+        self.numbers = itertools.count(1)
         self.leaving = False
         self.retired = False
         self.lost_count = 0
 
     @property
     def usable(self) -> bool:
-        """Whether the peer takes forwards now."""
+        """Whether the peer takes questions now."""
         return self.connection is not None and not self.leaving
 
     async def keep(self) -> None:
@@ -91,109 +89,105 @@
             await self.clock.sleep(REDIAL_MS)
 
     def retire(self) -> None:
-        """Forward nothing more; end when the present connection does."""
+        """Ask nothing more; end when the present connection does."""
         self.leaving = True
         self.retired = True
 
-    async def forward(self, request: Request) -> Outcome:
-        """Let the peer's worker run *request*; return the exact outcome."""
+    async def ask(self, question: Body, timeout: int) -> Body | NoReply:
+        """Return the peer's answer to *question*, waiting *timeout* ms."""
         connection = self.connection
-        remaining = self.clock.remaining(request.deadline)
-        if connection is None or self.leaving or not remaining:
-            return OWNER_LEFT
+        if connection is None or self.leaving:
+            return NOT_CONNECTED
+        number = next(self.numbers)
         call = Call()
-        self.calls[request.request_id] = call
+        self.calls[number] = call
+        connection.post(Ask(number, question))
         try:
-            await connection.send(_forward(request, remaining))
-            with self.clock.move_on_after(remaining + ANSWER_ALLOWANCE_MS):
+            with self.clock.move_on_after(timeout):
                 await call.settled.wait()
-        except LOST:
-            return PEER_LOST
         finally:
-            self._end_call(request.request_id, connection)
-        return call.outcome
+            if self.calls.pop(number, None):
+                connection.post(Withdraw(number))
+        return call.reply
 
-    def _end_call(self, request_id: str, connection: Connection) -> None:
-        call = self.calls.pop(request_id, None)
-        if call and not call.settled.is_set():
-            connection.post(Withdraw(request_id))
+    def tell(self, told: Body) -> bool:
+        """Send *told*; return whether there is a connection for it."""
+        if self.connection is None:
+            return False
+        self.connection.post(Tell(told))
+        return True
 
     async def _dial(self) -> None:
-        silence = self.peer.settings['silence']
         try:
-            with trio.fail_after(silence / SECOND_MS):
-                stream = await self.peer.open_stream(self.entry)
+            with trio.fail_after(self.exchange.settings['silence'] / SECOND_MS):
+                stream = await self.dialler(self.entry)
         except (OSError, trio.TooSlowError):
             return
-        connection = self.peer.connect(stream)
+        connection = self.exchange.connect(stream)
         try:
             async with connection:
                 await self._use(connection)
         except* LOST:
-            self.peer.log.info('Lost %s.', self.entry.entry_id)
+            self.exchange.log.info('Lost %s.', self.entry.entry_id)
         except* ProtocolError as errors:
-            self.peer.report(errors)
+            for error in errors.exceptions:
+                self.exchange.log.error('%s', error)
         finally:
             self._lose()
 
     async def _use(self, connection: Connection) -> None:
-        await connection.send(self.peer.greeting())
-        self.peer.check_greeting(await connection.receive(), self.entry)
-        self.connection = connection
-        self.leaving = self.retired
-        self.peer.log.info('Connected to %s.', self.entry.entry_id)
-        self.peer.dispatcher.reconcile()
+        connection.post(self.exchange.greeting())
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.peer.beat, connection, ())
+            nursery.start_soon(connection.pump)
+            self.exchange.check_greeting(
+                await connection.receive(),
+                self.entry,
+            )
+            self.connection = connection
+            self.leaving = self.retired
+            self.exchange.log.info('Connected to %s.', self.entry.entry_id)
+            self.exchange.notice(self.entry.entry_id)
+            nursery.start_soon(self._beat, connection)
             while True:
                 self._take(await connection.receive())
 
+    async def _beat(self, connection: Connection) -> None:
+        while True:
+            connection.post(Heartbeat(()))
+            await self.clock.sleep(self.exchange.settings['heartbeat'])
+
     def _lose(self) -> None:
+        if self.connection is None:
+            return
         self.connection = None
-        self.loads.clear()
         self.lost_count += 1
         for call in self.calls.values():
-            call.settle(PEER_LOST)
+            call.settle(LEFT)
         self.calls.clear()
-        self.peer.dispatcher.reconcile()
+        self.exchange.notice(self.entry.entry_id)
 
     @singledispatchmethod
     def _take(self, message: Message) -> None:
         raise out_of_turn(message)
 
-    @_take.register(AnswerDone)
-    @_take.register(AnswerNotRun)
-    @_take.register(AnswerUnknown)
-    def _take_answer(self, message: Answer) -> None:
-        call = self.calls.pop(message.request_id, None)
+    @_take.register
+    def _take_reply(self, message: Reply) -> None:
+        call = self.calls.pop(message.number, None)
         if call is None:
-            late = self.peer.kernel.metrics.late_answers
+            late = self.exchange.host.metrics.late_answers
             late.inc({'from': self.entry.entry_id})
         else:
-            call.settle(outcome_of(message))
+            call.settle(message.body)
 
     @_take.register
     def _take_heartbeat(self, message: Heartbeat) -> None:
-        self.loads.update((load.pool, load) for load in message.loads)
-        self.peer.configuration.hint(message.number, message.changes)
+        for told in message.news:
+            self.exchange.take(self.entry.entry_id, told)
 
     @_take.register
     def _take_leaving(self, message: Leaving) -> None:
         self.leaving = True
         if self.connection:
             self.connection.post(LeavingSeen())
-        self.peer.log.info('%s is leaving.', self.entry.entry_id)
-        self.peer.dispatcher.reconcile()
-
-
-def _forward(request: Request, remaining: int) -> Forward:
-    return Forward(
-        request_id=request.request_id,
-        service=request.service,
-        work=request.work,
-        body=request.body,
-        content_type=request.content_type,
-        remaining=remaining,
-        repeatable=request.repeatable,
-        key=request.key,
-    )
+        self.exchange.log.info('%s is leaving.', self.entry.entry_id)
+        self.exchange.notice(self.entry.entry_id)
--- a/cyclamenshift/peers/service.py
+++ b/cyclamenshift/peers/service.py
@@ -2,72 +2,85 @@
 cyclamenshift.peers.service
 ===========================
 
-The accepting side: one task for each connection, one for each request.
+The accepting side: one task for each connection, one for each question.
 """
 
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING
 
 import trio
 
-from ..model import Request
 from ..peer import (
-    Forward,
+    Ask,
+    Greeting,
     Heartbeat,
     Leaving,
     LeavingSeen,
     Message,
+    Reply,
+    Tell,
     Withdraw,
 )
 from .connection import Connection, out_of_turn
-
-if TYPE_CHECKING:
-    from .stream import StreamPeer
+from .exchange import Exchange
 
 
 class Service:
-    """Runs the requests that come in on one connection."""
+    """Answers the questions that come in on one connection."""
 
-    def __init__(self, peer: 'StreamPeer', connection: Connection) -> None:
+    def __init__(self, exchange: Exchange, connection: Connection) -> None:
         """Serve *connection*, which has not greeted yet."""
-        self.peer = peer
+        self.exchange = exchange
         self.connection = connection
-        self.running: dict[str, trio.CancelScope] = {}
+        self.entry_id = ''
+        self.answering: dict[int, trio.CancelScope] = {}
         self.told = False
         self.ended = trio.Event()
         self.idle = trio.Event()
+        self.news_wanted = trio.Event()
 
-    async def serve(self) -> None:
-        """Greet, then take messages until the connection is lost."""
-        greeting = self.peer.check_greeting(
+    async def greet(self) -> Greeting:
+        """Take and return the peer's greeting, and greet back."""
+        greeting = self.exchange.check_greeting(
             await self.connection.receive(),
             None,
         )
-        self.peer.membership.hint(greeting.entry_id, greeting.incarnation)
-        await self.connection.send(self.peer.greeting())
-        if self.peer.kernel.draining:
-            await self.say_leaving()
+        self.entry_id = greeting.entry_id
+        self.connection.post(self.exchange.greeting())
+        return greeting
+
+    async def serve(self) -> None:
+        """Take messages until the connection is lost."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                self.peer.beat,
-                self.connection,
-                self.peer.dispatcher.queues.values(),
-            )
+            nursery.start_soon(self.connection.pump)
+            nursery.start_soon(self._beat)
+            if self.exchange.host.draining:
+                self.say_leaving()
             while True:
                 self._obey(await self.connection.receive(), nursery)
 
-    async def say_leaving(self) -> None:
-        """Ask the other end to forward nothing more."""
+    def say_leaving(self) -> None:
+        """Tell the other end to ask nothing more."""
         if not self.told:
             self.told = True
-            await self.connection.try_send(Leaving())
+            self.connection.post(Leaving())
 
     async def drain(self) -> None:
         """Return when nothing more comes in and all is answered."""
         await self.ended.wait()
-        while self.running:
+        while self.answering:
             self.idle = trio.Event()
             await self.idle.wait()
+        await self.connection.flush()
+
+    async def _beat(self) -> None:
+        reporters = [factory() for factory in self.exchange.reporters]
+        while True:
+            self.news_wanted = trio.Event()
+            news = [told for report in reporters for told in report()]
+            self.connection.post(Heartbeat(tuple(news)))
+            heartbeat = self.exchange.settings['heartbeat']
+            with self.exchange.clock.move_on_after(heartbeat):
+                await self.news_wanted.wait()
 
     @singledispatchmethod
     def _obey(self, message: Message, nursery: trio.Nursery) -> None:
@@ -79,15 +92,19 @@
         message: Heartbeat,
         nursery: trio.Nursery,
     ) -> None:
-        self.peer.configuration.hint(message.number, message.changes)
+        """Nothing to do: that it came is its message."""
 
     @_obey.register
-    def _obey_forward(self, message: Forward, nursery: trio.Nursery) -> None:
-        nursery.start_soon(self._run, message)
+    def _obey_ask(self, message: Ask, nursery: trio.Nursery) -> None:
+        nursery.start_soon(self._answer, message)
+
+    @_obey.register
+    def _obey_tell(self, message: Tell, nursery: trio.Nursery) -> None:
+        self.exchange.take(self.entry_id, message.body)
 
     @_obey.register
     def _obey_withdraw(self, message: Withdraw, nursery: trio.Nursery) -> None:
-        scope = self.running.get(message.request_id)
+        scope = self.answering.get(message.number)
         if scope:
             scope.cancel()
 
@@ -99,26 +116,17 @@
     ) -> None:
         self.ended.set()
 
-    async def _run(self, forward: Forward) -> None:
-        request = Request(
-            request_id=forward.request_id,
-            service=forward.service,
-            work=forward.work,
-            body=forward.body,
-            content_type=forward.content_type,
-            deadline=self.peer.clock.now() + forward.remaining,
-            repeatable=forward.repeatable,
-            key=forward.key,
-        )
+    async def _answer(self, ask: Ask) -> None:
+        answerer = self.exchange.answerer(ask.body)
         with trio.CancelScope() as scope:
-            self.running[request.request_id] = scope
+            self.answering[ask.number] = scope
             try:
-                outcome = await self.peer.dispatcher.serve(request)
-                await self.connection.send_answer(request, outcome)
+                reply = await answerer(self.entry_id, ask.body)
             finally:
-                self._end(request.request_id)
+                self._end(ask.number)
+            self.connection.post(Reply(ask.number, reply))
 
-    def _end(self, request_id: str) -> None:
-        self.running.pop(request_id)
-        if not self.running:
+    def _end(self, number: int) -> None:
+        self.answering.pop(number)
+        if not self.answering:
             self.idle.set()
--- a/cyclamenshift/peers/stream.py
+++ b/cyclamenshift/peers/stream.py
@@ -4,39 +4,28 @@
 
 Peer messages over TCP: one task for each peer and each connection.
 
-Every entry VM dials every other one.  What it forwards goes out on the
-connection that it dialled, and the answers come back on it.
+Every entry VM dials every other one.  What it asks goes out on the
+connection that it dialled, and the answers and the other's news come back
+on it.
 """
 
-from collections.abc import Collection
+from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING, Any
 
 import trio
 from trio.abc import Stream
 
-from ..component import Dump
-from ..controls.configuration import Configuration
-from ..controls.dispatcher import Dispatcher
+from ..component import Dump, Host
 from ..controls.membership import Membership
-from ..decisions.lanes import PoolQueue
 from ..errors import ProtocolError, StartError
-from ..model import EntryVm, Load, Outcome, Request
-from ..peer import (
-    PROTOCOL_VERSION,
-    Greeting,
-    Heartbeat,
-    Message,
-    Peer,
-)
+from ..model import EntryVm
+from ..peer import Answerer, Body, Listener, NoReply, Peer, Reporter
 from ..plugin import register
-from .connection import LOST, Connection, Meter
-from .link import OWNER_LEFT, Link
+from .connection import LOST
+from .exchange import Exchange
+from .link import NOT_CONNECTED, Link
 from .service import Service
 
-if TYPE_CHECKING:
-    from ..kernel import Kernel
-
 
 @register
 class StreamPeer(Peer):
@@ -44,24 +33,15 @@
 
     name = 'stream'
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """Know no peer yet."""
         super().__init__(kernel)
         self.settings = kernel.settings['peers']
-        self.configuration = kernel.get(Configuration)
         self.membership = kernel.get(Membership)
+        self.exchange = Exchange(kernel, self.membership.own, self.log)
         self.links: dict[str, Link] = {}
-        self.meter = Meter()
-        self._loads: list[Load] = []
-        self._loads_moved = trio.Event()
-        self._loads_at = -self.settings['heartbeat']
         self.services: set[Service] = set()
 
-    @property
-    def dispatcher(self) -> Dispatcher:
-        """The component that runs what comes in; it starts later."""
-        return self.kernel.get(Dispatcher)
-
     async def run(
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
@@ -98,31 +78,30 @@
 
     async def accept(self, stream: Stream) -> None:
         """Serve one connection of a peer until it is lost."""
-        connection = self.connect(stream)
-        service = Service(self, connection)
+        connection = self.exchange.connect(stream)
+        service = Service(self.exchange, connection)
         self.services.add(service)
         try:
             async with connection:
+                greeting = await service.greet()
+                self.membership.hint(greeting.entry_id, greeting.incarnation)
                 await service.serve()
         except* LOST:
             self.log.debug('A peer has closed its connection.')
         except* ProtocolError as errors:
-            self.report(errors)
+            for error in errors.exceptions:
+                self.log.error('%s', error)
         finally:
             service.ended.set()
             self.services.discard(service)
 
-    def connect(self, stream: Stream) -> Connection:
-        """Return the connection over *stream*."""
-        return Connection(stream, self.clock, self.settings, self.meter)
-
     async def announce(self) -> None:
-        """Ask every peer to forward nothing more."""
+        """Ask every peer to ask nothing more."""
         for service in tuple(self.services):
-            await service.say_leaving()
+            service.say_leaving()
 
     async def drain(self) -> None:
-        """Return when no peer has a request here any more."""
+        """Return when no peer waits for an answer from here any more."""
         for service in tuple(self.services):
             await service.drain()
 
@@ -132,27 +111,44 @@
             entry_id for entry_id, link in self.links.items() if link.usable
         }
 
-    def loads(self, pool: str) -> dict[str, Load]:
-        """Return what the reachable peers' workers of *pool* offer."""
-        return {
-            entry_id: link.loads[pool]
-            for entry_id, link in self.links.items()
-            if link.usable and pool in link.loads
-        }
+    async def ask(
+        self,
+        entry_id: str,
+        question: Body,
+        timeout: int,
+    ) -> Body | NoReply:
+        """Return a peer's answer to *question*, waiting *timeout* ms."""
+        link = self.links.get(entry_id)
+        return await link.ask(question, timeout) if link else NOT_CONNECTED
 
-    async def forward(self, entry_id: str, request: Request) -> Outcome:
-        """Let a peer's worker run *request*; return the exact outcome."""
+    def tell(self, entry_id: str, told: Body) -> bool:
+        """Send *told*; return whether there is a connection for it."""
         link = self.links.get(entry_id)
-        return await link.forward(request) if link else OWNER_LEFT
+        return link.tell(told) if link else False
+
+    def answer(self, shape: type[Body], answerer: Answerer) -> None:
+        """Let *answerer* answer the questions of type *shape*."""
+        self.exchange.answerers[shape] = answerer
+
+    def listen_to(self, shape: type[Body], listener: Listener) -> None:
+        """Give *listener* what is told and the news of type *shape*."""
+        self.exchange.listeners.setdefault(shape, []).append(listener)
 
-    def tell_loads(self) -> None:
-        """Send the loads now, because the owned workers changed."""
-        self._loads_at = -self.settings['heartbeat']
-        self._loads_moved.set()
-        self._loads_moved = trio.Event()
+    def report(self, factory: Callable[[], Reporter]) -> None:
+        """Let a reporter that *factory* makes give each connection's news."""
+        self.exchange.reporters.append(factory)
+
+    def follow(self, watcher: Callable[[str], None]) -> None:
+        """Call *watcher* with the id of a peer that comes, leaves or goes."""
+        self.exchange.watchers.append(watcher)
+
+    def hurry(self) -> None:
+        """Send the news now, and not with the next heartbeat."""
+        for service in self.services:
+            service.news_wanted.set()
 
     def dump(self) -> Dump:
-        """Return each peer's connection and calls."""
+        """Return each peer's connection and questions."""
         now = self.clock.now()
         peers = {
             entry_id: {
@@ -166,71 +162,7 @@
             }
             for entry_id, link in self.links.items()
         }
-        return {'bytes_sent': self.meter.bytes_sent, 'peers': peers}
-
-    def greeting(self) -> Greeting:
-        """Return the first message on each connection."""
-        own = self.membership.own
-        return Greeting(PROTOCOL_VERSION, own.entry_id, own.incarnation)
-
-    def check_greeting(
-        self,
-        message: Message,
-        expected: EntryVm | None,
-    ) -> Greeting:
-        """Return the greeting; ProtocolError unless it is as *expected*."""
-        if not isinstance(message, Greeting):
-            raise ProtocolError('A peer did not greet.', 'Check peers.port.')
-        if message.version != PROTOCOL_VERSION:
-            raise ProtocolError(
-                f'A peer speaks version {message.version}.',
-                f'Upgrade both entry VMs to version {PROTOCOL_VERSION}.',
-            )
-        if expected and message.incarnation != expected.incarnation:
-            raise ProtocolError(
-                f'{expected.entry_id} is another process now.',
-                'Nothing to do; its new registration is read soon.',
-            )
-        return message
-
-    def report(self, errors: BaseExceptionGroup[Any]) -> None:
-        """Log each protocol error."""
-        for error in errors.exceptions:
-            self.log.error('%s', error)
-
-    async def beat(
-        self,
-        connection: Connection,
-        queues: Collection[PoolQueue],
-    ) -> None:
-        """Send a heartbeat now and again, with the new loads of *queues*."""
-        told: dict[str, Load] = {}
-        while True:
-            changed = tuple(
-                load
-                for load in self._loads_of(queues)
-                if told.get(load.pool) != load
-            )
-            told.update((load.pool, load) for load in changed)
-            await connection.send(
-                Heartbeat(
-                    self.configuration.number,
-                    self.configuration.changes_version,
-                    changed,
-                ),
-            )
-            with self.clock.move_on_after(self.settings['heartbeat']):
-                await self._loads_moved.wait()
-
-    def _loads_of(self, queues: Collection[PoolQueue]) -> list[Load]:
-        """Return the loads, worked out once for all connections."""
-        if not queues:
-            return []
-        now = self.clock.now()
-        if now - self._loads_at >= self.settings['heartbeat'] // 2:
-            self._loads = [queue.load(now) for queue in queues]
-            self._loads_at = now
-        return self._loads
+        return {'bytes_sent': self.exchange.meter.bytes_sent, 'peers': peers}
 
     async def _follow_members(self, nursery: trio.Nursery) -> None:
         links: dict[EntryVm, Link] = {}
@@ -240,7 +172,7 @@
             for gone in links.keys() - wanted:
                 links.pop(gone).retire()
             for new in wanted - links.keys():
-                links[new] = Link(self, new)
+                links[new] = Link(self.exchange, new, self.open_stream)
                 nursery.start_soon(self._keep_link, links[new])
             await changed.wait()
 
--- a/cyclamenshift/stores/http.py
+++ b/cyclamenshift/stores/http.py
@@ -7,12 +7,13 @@
 
 from collections.abc import Sequence
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import Any, TypeVar
 
 import httpx
 import msgspec
 import trio
 
+from ..component import Host
 from ..clock import SECOND_MS
 from ..store import (
     Committed,
@@ -29,9 +30,6 @@
 )
 from ..plugin import register
 
-if TYPE_CHECKING:
-    from ..kernel import Kernel
-
 ResultType = TypeVar('ResultType')
 
 #: Errors after which the store certainly saw nothing of the call.
@@ -44,7 +42,7 @@
 
     name = 'http'
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """Prepare the client; connect with the first call."""
         super().__init__(kernel)
         settings = kernel.settings['store']
--- a/cyclamenshift/stores/memory.py
+++ b/cyclamenshift/stores/memory.py
@@ -6,10 +6,10 @@
 """
 
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
 
 import trio
 
+from ..component import Host
 from ..plugin import register
 from ..store import (
     CommitResult,
@@ -23,9 +23,6 @@
 )
 from ..table import Table
 
-if TYPE_CHECKING:
-    from ..kernel import Kernel
-
 
 @register
 class MemoryStore(Store):
@@ -34,7 +31,7 @@
     name = 'memory'
     aliases = ('embedded',)
 
-    def __init__(self, kernel: 'Kernel') -> None:
+    def __init__(self, kernel: Host) -> None:
         """Start with an empty table."""
         super().__init__(kernel)
         self.table = Table()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,19 +13,28 @@
 
 from cyclamenshift.errors import ProtocolError
 from cyclamenshift.model import Done, NotRun, Outcome, Reason, Unknown
-from cyclamenshift.peer import (
+from cyclamenshift.forwarding import (
     AnswerDone,
     AnswerNotRun,
     AnswerUnknown,
     Forward,
+    answer,
+    outcome_of,
+)
+from cyclamenshift.news import Loads, Versions
+from cyclamenshift.peer import (
+    BODIES,
+    Ask,
+    Body,
     Greeting,
     Heartbeat,
     Leaving,
     LeavingSeen,
     Message,
+    Reply,
+    Tell,
     Withdraw,
 )
-from cyclamenshift.peers.connection import answer, outcome_of
 from cyclamenshift.peers.frames import TAGS, Decoder, encode
 
 from .builders import load as pool_load
@@ -35,14 +44,21 @@
 #: The heartbeat of the default settings, ms.
 HEARTBEAT_MS = 500
 
+EXAMPLES: tuple[Body, ...] = (
+    Forward('id', 'desk', 'look-up', b'\x00\xff', 'text/plain', 9, True, ''),
+    AnswerDone(200, 'text/plain', b'\x00body'),
+    AnswerNotRun(Reason.refused, 'remedy', 5),
+    AnswerUnknown(Reason.answer_lost, 'remedy'),
+    Loads((pool_load(), pool_load(pool='spare'))),
+    Versions(3, 17),
+)
 MESSAGES: tuple[Message, ...] = (
     Greeting(1, 'entry-1', 'first'),
-    Heartbeat(3, 17, (pool_load(), pool_load(pool='spare'))),
-    Forward('id', 'desk', 'look-up', b'\x00\xff', 'text/plain', 9, True, ''),
-    AnswerDone('id', 200, 'text/plain', b'\x00body'),
-    AnswerNotRun('id', Reason.refused, 'remedy', 5),
-    AnswerUnknown('id', Reason.answer_lost, 'remedy'),
-    Withdraw('id'),
+    Heartbeat(EXAMPLES),
+    Ask(1, EXAMPLES[0]),
+    *(Reply(1, example) for example in EXAMPLES),
+    Tell(EXAMPLES[-1]),
+    Withdraw(7),
     Leaving(),
     LeavingSeen(),
 )
@@ -51,6 +67,7 @@
 def test_every_message_has_a_tag_and_an_example() -> None:
     """No message is left out of the encoding, or of these tests."""
     assert {type(message) for message in MESSAGES} == TAGS.keys()
+    assert {type(example) for example in EXAMPLES} == set(BODIES.values())
 
 
 @pytest.mark.parametrize('size', [1, 3, 1000])
@@ -77,7 +94,7 @@
 
 def test_frame_beyond_the_limit_is_refused() -> None:
     """A frame longer than the limit is never buffered whole."""
-    frame = encode(Withdraw('x' * 2_000))
+    frame = encode(Reply(1, AnswerUnknown(Reason.deadline, 'x' * 2_000)))
     with pytest.raises(ProtocolError, match='frame_limit'):
         list(Decoder(1_000).feed(frame))
 
@@ -92,9 +109,9 @@
 )
 def test_outcomes_survive_the_answer(outcome: Outcome) -> None:
     """An outcome sent as an answer comes back the same."""
-    message = answer(outcome, 'id')
-    assert isinstance(message, AnswerDone | AnswerNotRun | AnswerUnknown)
-    assert outcome_of(message) == outcome
+    body = answer(outcome)
+    assert isinstance(body, AnswerDone | AnswerNotRun | AnswerUnknown)
+    assert outcome_of(body) == outcome
 
 
 async def test_each_gets_its_own_answer(
