--- a/cyclamenshift/component.py
+++ b/cyclamenshift/component.py
@@ -32,6 +32,9 @@
     def get(self, base: type[ComponentType]) -> ComponentType:
         """Return the component that is a *base*."""
 
+    def every(self, base: type[ComponentType]) -> list[ComponentType]:
+        """Return each component that is a *base*."""
+
     def dump(self) -> Dump:
         """Return the state of every component by its name."""
 
@@ -44,9 +47,12 @@
     grace period ends first, ``abandon``; then the tasks are cancelled.
 
     ``stage`` orders the start; a component may use those of lower stages.
+    ``works`` names the kinds of work that need the component: requests,
+    which workers answer, or jobs, whose tasks they run.
     """
 
     stage: ClassVar[int]
+    works: ClassVar[frozenset[str]] = frozenset(('requests', 'jobs'))
 
     def __init__(self, kernel: Host) -> None:
         """Keep the kernel; start nothing yet."""
--- a/cyclamenshift/controls/claims.py
+++ b/cyclamenshift/controls/claims.py
@@ -69,6 +69,7 @@
     """Carries each claimed request in a task that outlives its caller."""
 
     name = 'claims'
+    works = frozenset(('requests',))
     stage: ClassVar[int] = 3
 
     def __init__(self, kernel: Host) -> None:
--- /dev/null
+++ b/cyclamenshift/controls/desk.py
@@ -0,0 +1,218 @@
+"""
+cyclamenshift.controls.desk
+===========================
+
+Takes jobs from callers, and answers for them, at any entry VM.
+
+A job is accepted when its row is stored.  The owner of its service is told
+then; where that hint is lost the owner finds the row by itself.
+"""
+
+from typing import ClassVar, Final, NamedTuple, TypeAlias, cast
+
+from ..component import Host
+from ..control import Control
+from ..directory import Directory, Queue
+from ..duties.scheduler import SchedulerDuty
+from ..job import Job, JobState
+from ..jobmessages import (
+    CountAnswer,
+    CountQuery,
+    JobCancelled,
+    JobStored,
+    StateAnswer,
+    StateQuery,
+)
+from ..jobrows import (
+    JOB_TABLE,
+    PROGRESS_TABLE,
+    CancelRow,
+    JobRow,
+    ProgressRow,
+    cancel_key,
+    job_key,
+    progress_key,
+)
+from ..peer import NoReply, Peer
+from ..plugin import register
+from ..rows import typed
+from ..store import ABSENT, Snapshot, Store, Unavailable
+from .ledger import Ledger, NotWritten, Rival, Written
+from .ownership import Ownership
+
+#: How long the owner of a service may take to answer, ms.
+OWNER_WAIT_MS: Final = 300
+#: When a caller whose job could not be stored should come back, ms.
+RETRY_AFTER_MS: Final = 1_000
+
+
+class Stored(NamedTuple):
+    """The job was accepted, now or before."""
+
+
+class Different(NamedTuple):
+    """Another job was handed in under this id."""
+
+
+class NotStored(NamedTuple):
+    """The job was not accepted and will never run."""
+
+    reason: str
+    retry_after: int
+
+
+class MaybeStored(NamedTuple):
+    """The job may have been accepted; hand it in again."""
+
+    reason: str
+
+
+class NoSuchJob(NamedTuple):
+    """No job of the queue has this id."""
+
+
+SubmitResult: TypeAlias = Stored | Different | NotStored | MaybeStored
+
+
+@register
+class JobDesk(Control):
+    """Stores jobs and cancels, and asks owners how jobs stand."""
+
+    name = 'desk'
+    works = frozenset(('jobs',))
+    stage: ClassVar[int] = 7
+
+    def __init__(self, kernel: Host) -> None:
+        """Know the store, the owners and the peers."""
+        super().__init__(kernel)
+        self.store = kernel.get(Store)
+        self.ledger = kernel.get(Ledger)
+        self.directory = kernel.get(Directory)
+        self.ownership = kernel.get(Ownership)
+        self.scheduler = kernel.get(SchedulerDuty)
+        self.peer = kernel.get(Peer)
+
+    async def submit(self, queue: Queue, job: Job, wait: int) -> SubmitResult:
+        """Store *job*, within *wait* ms, and tell the owner of its service."""
+        key = job_key(queue.service, job.job_id)
+        result: Written | Rival | NotWritten | None = None
+        with self.clock.move_on_after(wait):
+            result = await self.ledger.write(key, ABSENT, JobRow(job=job))
+        if result is None:
+            return MaybeStored('the store did not answer in time')
+        if isinstance(result, NotWritten):
+            return NotStored('the store can not be reached', RETRY_AFTER_MS)
+        if isinstance(result, Rival):
+            present = typed(result.row, JobRow)['job']
+            return Stored() if present.same_as(job) else Different()
+        self._tell(JobStored(queue.service, job))
+        return Stored()
+
+    async def state_of(
+        self,
+        queue: Queue,
+        job_id: str,
+    ) -> JobState | NoSuchJob | Unavailable:
+        """Return how a job stands, from its owner or from the store."""
+        query = StateQuery(queue.service, job_id)
+        answer = await self._ask_state(query)
+        if answer.owned and answer.state:
+            if answer.queue == queue.name:
+                return answer.state
+            return NoSuchJob()
+        return await self._read_state(queue, job_id)
+
+    async def cancel(
+        self,
+        queue: Queue,
+        job_id: str,
+        wait: int,
+    ) -> Stored | NoSuchJob | Unavailable:
+        """Store that a job is cancelled, and tell its owner."""
+        state = await self.state_of(queue, job_id)
+        if isinstance(state, NoSuchJob | Unavailable):
+            return state
+        if state.final:
+            return Stored()
+        key = cancel_key(queue.service, job_id)
+        row = CancelRow(asked=self.clock.wall())
+        result: Written | Rival | NotWritten | None = None
+        with self.clock.move_on_after(wait):
+            result = await self.ledger.write(key, ABSENT, row)
+        if result is None or isinstance(result, NotWritten):
+            return Unavailable('The cancel could not be stored.')
+        self._tell(JobCancelled(queue.service, job_id))
+        return Stored()
+
+    async def waiting(self, queue: Queue) -> int | Unavailable:
+        """Return how many jobs of *queue* have not begun."""
+        query = CountQuery(queue.service, queue.name)
+        owner = self.ownership.owner_of(queue.service)
+        if owner == self.ownership.membership.own.entry_id:
+            answer = self.scheduler.count(query)
+        elif owner:
+            reply = await self.peer.ask(owner, query, OWNER_WAIT_MS)
+            answer = cast(CountAnswer, reply)
+            if isinstance(reply, NoReply):
+                answer = CountAnswer(owned=False, waiting=0)
+        else:
+            answer = CountAnswer(owned=False, waiting=0)
+        if answer.owned:
+            return answer.waiting
+        return await self._read_waiting(queue)
+
+    def _tell(self, told: JobStored | JobCancelled) -> None:
+        owner = self.ownership.owner_of(told.service)
+        if owner == self.ownership.membership.own.entry_id:
+            self._take(told)
+        elif owner:
+            self.peer.tell(owner, told)
+
+    def _take(self, told: JobStored | JobCancelled) -> None:
+        if isinstance(told, JobStored):
+            self.scheduler.take(told)
+        else:
+            self.scheduler.cancel(told)
+
+    async def _ask_state(self, query: StateQuery) -> StateAnswer:
+        owner = self.ownership.owner_of(query.service)
+        if owner == self.ownership.membership.own.entry_id:
+            return self.scheduler.state_of(query)
+        if owner:
+            reply = await self.peer.ask(owner, query, OWNER_WAIT_MS)
+            if not isinstance(reply, NoReply):
+                return cast(StateAnswer, reply)
+        return StateAnswer(owned=False, queue='', state=None)
+
+    async def _read_state(
+        self,
+        queue: Queue,
+        job_id: str,
+    ) -> JobState | NoSuchJob | Unavailable:
+        rows = await self.store.read(
+            [
+                job_key(queue.service, job_id),
+                progress_key(queue.service, job_id),
+            ],
+        )
+        if isinstance(rows, Unavailable):
+            return rows
+        job, progress = rows
+        if not job.version or typed(job, JobRow)['job'].queue != queue.name:
+            return NoSuchJob()
+        if not progress.version:
+            return JobState.queued
+        return typed(progress, ProgressRow)['state']
+
+    async def _read_waiting(self, queue: Queue) -> int | Unavailable:
+        jobs = await self.store.scan(JOB_TABLE, queue.service)
+        progress = await self.store.scan(PROGRESS_TABLE, queue.service)
+        if isinstance(jobs, Snapshot) and isinstance(progress, Snapshot):
+            begun = {row.key.name for row in progress.rows}
+            return sum(
+                1
+                for row in jobs.rows
+                if row.key.name not in begun
+                and typed(row, JobRow)['job'].queue == queue.name
+            )
+        return Unavailable('The jobs could not be read.')
--- a/cyclamenshift/controls/ledger.py
+++ b/cyclamenshift/controls/ledger.py
@@ -2,10 +2,11 @@
 cyclamenshift.controls.ledger
 =============================
 
-Writes claim rows, many in one transaction, until the result is certain.
+Writes rows, many in one transaction, until the result is certain.
 """
 
-from typing import ClassVar, NamedTuple
+from collections import deque
+from typing import ClassVar, NamedTuple, cast
 
 import trio
 
@@ -17,6 +18,7 @@
     Committed,
     CommitResult,
     Conflict,
+    Fields,
     Key,
     Store,
     Row,
@@ -25,12 +27,9 @@
     Write,
 )
 from ..plugin import register
-from ..rows import ClaimRow
 
 #: The wait before a lost answer is asked for again, ms.
 SETTLE_DELAY_MS = 100
-#: How many writes may wait for the next transaction.
-BACKLOG = 10_000
 
 
 class Written(NamedTuple):
@@ -52,7 +51,7 @@
 class Entry:
     """One row to write, and its result once that is certain."""
 
-    def __init__(self, key: Key, version: int, row: ClaimRow) -> None:
+    def __init__(self, key: Key, version: int, row: Fields) -> None:
         """Write *row* at *key* if its version is still *version*."""
         self.key = key
         self.version = version
@@ -69,10 +68,10 @@
 @register
 class Ledger(Control):
     """
-    One task commits what has gathered while the last commit ran.
+    Commits, for each part, what has gathered while the last commit ran.
 
-    Two commits start at least ``store.claim_interval`` apart, so that
-    many entry VMs together stay within what the table can write.
+    Two commits of a part start at least ``store.claim_interval`` apart, so
+    that many entry VMs together stay within what the table can write.
     """
 
     name = 'ledger'
@@ -82,41 +81,39 @@
         """Start with nothing to write."""
         super().__init__(kernel)
         self.store = kernel.get(Store)
-        channel = trio.open_memory_channel[Entry](BACKLOG)
-        self.pending = channel[0]
-        self._entries = channel[1]
+        self.lanes: dict[str, deque[Entry]] = {}
         self.interval = kernel.settings['store']['claim_interval']
-        self.next_at = 0
+        self.next_at: dict[str, int] = {}
         self.batches = 0
         self.rows_written = 0
         self.unsettled = 0
+        self.nursery: trio.Nursery | None = None
 
     async def run(
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Commit batch after batch; lost answers are settled aside."""
+        """Hold the tasks that commit, one for each part in use."""
         async with trio.open_nursery() as nursery:
+            self.nursery = nursery
             task_status.started()
-            async for first in self._entries:
-                await self.clock.sleep(self.clock.remaining(self.next_at))
-                self.next_at = self.clock.now() + self.interval
-                batch = self._gather(first)
-                result = await self._commit(batch)
-                if isinstance(result, (Conflict, Uncertain)):
-                    nursery.start_soon(self._resolve, batch, result)
-                else:
-                    self._tell(batch, result)
+            await trio.sleep_forever()
 
     async def write(
         self,
         key: Key,
         version: int,
-        row: ClaimRow,
+        row: Fields,
     ) -> Written | Rival | NotWritten:
         """Write *row* and return the certain result, however long it takes."""
         entry = Entry(key, version, row)
-        await self.pending.send(entry)
+        lane = self.lanes.get(key.part)
+        if lane is None:
+            self.lanes[key.part] = deque((entry,))
+            nursery = cast(trio.Nursery, self.nursery)
+            nursery.start_soon(self._commit_lane, key.part)
+        else:
+            lane.append(entry)
         await entry.settled.wait()
         return entry.result
 
@@ -128,15 +125,24 @@
             'unsettled': self.unsettled,
         }
 
-    def _gather(self, first: Entry) -> list[Entry]:
-        batch = [first]
+    async def _commit_lane(self, part: str) -> None:
+        """Commit batch after batch of *part*, until nothing waits."""
+        while self.lanes[part]:
+            pause = self.clock.remaining(self.next_at.get(part, 0))
+            await self.clock.sleep(pause)
+            self.next_at[part] = self.clock.now() + self.interval
+            batch = self._gather(self.lanes[part])
+            result = await self._commit(batch)
+            if isinstance(result, (Conflict, Uncertain)):
+                nursery = cast(trio.Nursery, self.nursery)
+                nursery.start_soon(self._resolve, batch, result)
+            else:
+                self._tell(batch, result)
+        self.lanes.pop(part)
+
+    def _gather(self, lane: deque[Entry]) -> list[Entry]:
         limit = self.kernel.settings['store']['claim_batch']
-        while len(batch) < limit:
-            try:
-                batch.append(self._entries.receive_nowait())
-            except trio.WouldBlock:
-                break
-        return batch
+        return [lane.popleft() for _taken in range(min(limit, len(lane)))]
 
     async def _commit(self, batch: list[Entry]) -> CommitResult:
         self.batches += 1
--- a/cyclamenshift/controls/membership.py
+++ b/cyclamenshift/controls/membership.py
@@ -47,6 +47,7 @@
             host=listen['host'],
             port=listen['port'],
             incarnation=uuid.uuid4().hex,
+            size=entry['size'],
         )
         self.registered: dict[str, EntryVm] = {}
         self.version = ABSENT
@@ -125,6 +126,7 @@
             host=self.own.host,
             port=self.own.port,
             incarnation=self.own.incarnation,
+            size=self.own.size,
         )
         transaction = Transaction((), (Write(key, row),))
         result = await self.store.commit(transaction)
--- /dev/null
+++ b/cyclamenshift/controls/ownership.py
@@ -0,0 +1,255 @@
+"""
+cyclamenshift.controls.ownership
+================================
+
+Sees to it that each domain has an owner among the live entry VMs.
+
+An owner is made by a conditional write on the row of the domain.  Peers
+tell each other what they own; when the owner of a domain is gone, the
+next in order takes the row under a higher epoch.
+"""
+
+from typing import ClassVar
+
+import trio
+
+from ..component import Dump, Host
+from ..control import Control
+from ..decisions.membership import live_members
+from ..decisions.owners import Held, assign
+from ..directory import Directory
+from ..duty import Duty, Tenure
+from ..jobmessages import Holding, Holdings
+from ..jobrows import OwnerRow, owner_key
+from ..peer import Body, Peer, Reporter
+from ..plugin import register
+from ..rows import typed
+from ..store import (
+    ABSENT,
+    Check,
+    Committed,
+    Conflict,
+    Row,
+    Store,
+    Transaction,
+    Unavailable,
+    Uncertain,
+    Write,
+)
+from .membership import Membership
+
+#: How often the owners are looked at, ms.
+LOOK_MS = 100
+#: How long a new process waits for its peers before it takes a domain, ms.
+SETTLE_MS = 600
+#: How much longer each next candidate waits than the one before, ms.
+RANK_DELAY_MS = 400
+#: The wait before a write whose answer was lost is looked at, ms.
+READ_BACK_MS = 100
+#: How long a live holder that does not tell of its domain is waited for, ms.
+SILENT_HOLDER_MS = 1_500
+
+
+@register
+class Ownership(Control):
+    """Takes vacant domains, and runs their duties while it owns them."""
+
+    name = 'ownership'
+    works = frozenset(('jobs',))
+    stage: ClassVar[int] = 6
+
+    def __init__(self, kernel: Host) -> None:
+        """Own nothing; duties and peers are known."""
+        super().__init__(kernel)
+        self.store = kernel.get(Store)
+        self.peer = kernel.get(Peer)
+        self.membership = kernel.get(Membership)
+        self.directory = kernel.get(Directory)
+        self.duties = kernel.every(Duty)
+        self.tenures: dict[str, Tenure] = {}
+        self.told: dict[str, dict[str, int]] = {}
+        self.vacant_since: dict[str, int] = {}
+        self.taking: set[str] = set()
+        self.started_at = self.clock.now()
+        self.peer.listen_to(Holdings, self._take_holdings)
+        self.peer.report(self._news)
+        self.peer.follow(self._notice_peer)
+        self._wake = trio.Event()
+
+    def owner_of(self, domain: str) -> str | None:
+        """Return the id of the entry VM that owns *domain*, if known."""
+        if domain in self.tenures:
+            return self.membership.own.entry_id
+        reachable = self.peer.reachable()
+        owners = [
+            (held[domain], entry_id)
+            for entry_id, held in self.told.items()
+            if domain in held and entry_id in reachable
+        ]
+        return max(owners)[1] if owners else None
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Look at the owners again and again."""
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            while True:
+                self._look(nursery)
+                with self.clock.move_on_after(LOOK_MS):
+                    await self._wake.wait()
+                self._wake = trio.Event()
+
+    async def announce(self) -> None:
+        """Decide nothing more; peers take over when they are told."""
+        for tenure in tuple(self.tenures.values()):
+            tenure.scope.cancel()
+        self.tenures.clear()
+        self.peer.hurry()
+
+    def dump(self) -> Dump:
+        """Return what this entry VM and its peers own."""
+        return {
+            'own': {
+                domain: tenure.epoch for domain, tenure in self.tenures.items()
+            },
+            'peers': self.told,
+        }
+
+    def _take_holdings(self, entry_id: str, told: Holdings) -> None:
+        self.told[entry_id] = dict(told.held)
+        self._wake.set()
+
+    def _notice_peer(self, entry_id: str) -> None:
+        if entry_id not in self.peer.reachable():
+            self.told.pop(entry_id, None)
+        self._wake.set()
+
+    def _news(self) -> Reporter:
+        return HoldingsNews(self)
+
+    def _look(self, nursery: trio.Nursery) -> None:
+        catalog = self.directory.catalog
+        if catalog is None or self.kernel.draining:
+            return
+        now = self.clock.now()
+        wanted = {
+            domain: duty
+            for duty in self.duties
+            for domain in duty.domains(catalog)
+        }
+        vacant = {domain for domain in wanted if not self.owner_of(domain)}
+        for domain in self.vacant_since.keys() - vacant:
+            self.vacant_since.pop(domain)
+        for domain in vacant:
+            self.vacant_since.setdefault(domain, now)
+        for domain in self._mine(vacant - self.taking):
+            self.taking.add(domain)
+            nursery.start_soon(self._hold, domain, wanted[domain])
+
+    def _mine(self, vacant: set[str]) -> list[str]:
+        """Return the vacant domains that it is this entry VM's turn to take."""
+        now = self.clock.now()
+        if now - self.started_at < SETTLE_MS:
+            return []
+        members = live_members(
+            self.membership.registered,
+            self.peer.reachable(),
+            self.membership.own,
+        )
+        own_id = self.membership.own.entry_id
+        held: Held = {**self.told, own_id: self.tenures}
+        ranked = assign(vacant, members, held)
+        return [
+            domain
+            for domain, order in ranked.items()
+            if now - self.vacant_since[domain]
+            >= order.index(own_id) * RANK_DELAY_MS
+        ]
+
+    async def _hold(self, domain: str, duty: Duty) -> None:
+        try:
+            tenure = await self._acquire(domain)
+            if tenure is None:
+                await self.clock.sleep(LOOK_MS)
+                return
+            await self._serve(tenure, duty)
+        finally:
+            self.taking.discard(domain)
+
+    async def _serve(self, tenure: Tenure, duty: Duty) -> None:
+        self.tenures[tenure.domain] = tenure
+        self.peer.hurry()
+        self.log.info('Owns %s, epoch %s.', tenure.domain, tenure.epoch)
+        with tenure.scope:
+            await duty.serve(tenure)
+        if self.tenures.get(tenure.domain) is tenure:
+            self.tenures.pop(tenure.domain)
+        self.peer.hurry()
+        self.log.info('Does not own %s any more.', tenure.domain)
+
+    async def _acquire(self, domain: str) -> Tenure | None:
+        """Take the row of *domain*; None if it is not to be had now."""
+        key = owner_key(domain)
+        asked_at = self.clock.now()
+        rows = await self.store.read([key])
+        if isinstance(rows, Unavailable) or self._is_held(domain, rows[0]):
+            return None
+        epoch = 0
+        if rows[0].version != ABSENT:
+            epoch = typed(rows[0], OwnerRow)['epoch']
+        own = self.membership.own
+        row = OwnerRow(
+            holder=own.entry_id,
+            incarnation=own.incarnation,
+            epoch=epoch + 1,
+        )
+        transaction = Transaction(
+            (Check(key, rows[0].version),),
+            (Write(key, row),),
+        )
+        result = await self.store.commit(transaction)
+        while isinstance(result, Uncertain):
+            await self.clock.sleep(READ_BACK_MS)
+            result = await self.store.commit(transaction)
+        if isinstance(result, Committed):
+            return Tenure(domain, row, result.version, asked_at)
+        if isinstance(result, Conflict):
+            present = result.rows[0]
+            if present.fields == row:
+                return Tenure(domain, row, present.version, asked_at)
+        return None
+
+    def _is_held(self, domain: str, row: Row) -> bool:
+        """Return whether a live peer may just not have told that it holds."""
+        if row.version == ABSENT:
+            return False
+        holder = typed(row, OwnerRow)
+        entry = self.membership.registered.get(holder['holder'])
+        alive = holder['holder'] in self.peer.reachable()
+        same = entry and entry.incarnation == holder['incarnation']
+        waited = self.clock.now() - self.vacant_since.get(domain, 0)
+        return bool(alive and same and waited < SILENT_HOLDER_MS)
+
+
+class HoldingsNews:
+    """Tells one connection what this entry VM owns, when that changes."""
+
+    def __init__(self, ownership: Ownership) -> None:
+        """Have told nothing yet."""
+        self.ownership = ownership
+        self.told: Holdings | None = None
+
+    def __call__(self) -> tuple[Body, ...]:
+        """Return the holdings if they have changed."""
+        holdings = Holdings(
+            tuple(
+                Holding(domain, tenure.epoch)
+                for domain, tenure in self.ownership.tenures.items()
+            ),
+        )
+        if holdings == self.told:
+            return ()
+        self.told = holdings
+        return (holdings,)
--- a/cyclamenshift/daemon.py
+++ b/cyclamenshift/daemon.py
@@ -7,6 +7,7 @@
 
 import argparse
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -15,16 +16,20 @@
 
 import trio
 
-from . import firstrun, kernel, logs, settings, startup
+from . import firstrun, kernel, logs, plugin, settings, startup
 from .clock import Clock
 from .component import Component
 from .errors import CyclamenshiftError
+from .source import Source
 
 #: The exit codes of the program.
 EXIT_OK: Final = 0
 EXIT_FAILED: Final = 1
 EXIT_USAGE: Final = 2
 
+#: The variable that names the settings where no argument does.
+SETTINGS_VARIABLE: Final = 'CYCLAMENSHIFT_SETTINGS'
+
 log = logs.get_logger('daemon')
 
 
@@ -34,24 +39,34 @@
         prog='cyclamenshiftd',
         description='Run one entry VM.',
     )
-    source = parser.add_mutually_exclusive_group(required=True)
-    source.add_argument(
+    first = parser.add_mutually_exclusive_group()
+    first.add_argument(
         '--settings',
         type=pathlib.Path,
-        help='the folder of YAML files for this process',
+        default=os.environ.get(SETTINGS_VARIABLE),
+        help='the folder of YAML files for this process, or what the source '
+        f'reads; default: ${SETTINGS_VARIABLE}',
     )
-    source.add_argument(
+    first.add_argument(
         '--try',
         action='store_true',
         dest='first_run',
         help='answer one request on the embedded default, then stop',
     )
+    parser.add_argument(
+        '--source',
+        default='folder',
+        help='the plug-in that reads the settings',
+    )
     parser.add_argument(
         '--check',
         action='store_true',
         help='check the settings and stop',
     )
-    return parser.parse_args(arguments)
+    options = parser.parse_args(arguments)
+    if not options.first_run and options.settings is None:
+        parser.error('name the settings with --settings')
+    return options
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -59,8 +74,10 @@
     options = parse_arguments(arguments)
     if options.first_run:
         return trio.run(firstrun.answer_one)
+    kernel.load_families()
     try:
-        chosen = settings.load(options.settings)
+        source = plugin.find(Source, options.source)()
+        chosen = source.load(options.settings)
         first = startup.load_first_fleet(options.settings)
         members = startup.choose_members(chosen)
     except CyclamenshiftError as error:
@@ -128,3 +145,7 @@
 def _fail(error: BaseException, code: int) -> int:
     sys.stderr.write(f'cyclamenshiftd: {error}\n')
     return code
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/cyclamenshift/decisions/admission.py
@@ -0,0 +1,36 @@
+"""
+cyclamenshift.decisions.admission
+=================================
+
+Whether a job that a caller hands in makes sense.
+"""
+
+from typing import Final
+
+from ..job import Job, Step
+
+#: The longest specification, in bytes; from the platform's description.
+SPEC_LIMIT: Final = 4_000
+
+
+def problem_with(job: Job) -> str:
+    """Return what is wrong with *job* and the remedy, empty for nothing."""
+    if len(job.spec.encode()) > SPEC_LIMIT:
+        return f'spec: longer than {SPEC_LIMIT} bytes; shorten it'
+    if not job.steps:
+        return 'steps: there is none; name at least one'
+    problems = (
+        _problem_with_step(number, step)
+        for number, step in enumerate(job.steps)
+    )
+    return next(filter(None, problems), '')
+
+
+def _problem_with_step(number: int, step: Step) -> str:
+    if step.tasks < 1:
+        return f'steps[{number}]: it has no task; ask for one or more'
+    if min(step.room) < 0:
+        return f'steps[{number}]: it asks for less than nothing'
+    if not all(0 <= before < number for before in step.after):
+        return f'steps[{number}]: it may only come after earlier steps'
+    return ''
--- /dev/null
+++ b/cyclamenshift/decisions/book.py
@@ -0,0 +1,265 @@
+"""
+cyclamenshift.decisions.book
+============================
+
+The jobs of one service: which tasks wait, and what runs at which worker.
+"""
+
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from ..directory import Queue
+from ..job import (
+    NOTHING,
+    Ending,
+    Job,
+    JobState,
+    Room,
+    RunEnd,
+    RunId,
+    RunStatus,
+    Step,
+    TaskId,
+)
+from ..jobrows import ProgressRow
+from ..worker import Report
+from .progress import (
+    Attempt,
+    Ended,
+    JobProgress,
+    Life,
+    Phase,
+    Task,
+    checkpoint_of,
+)
+
+
+#: The endings that have to be recorded before they are acknowledged.
+COUNTED: Final = frozenset((Ending.done, Ending.failed))
+
+
+class Noted(NamedTuple):
+    """
+    What a worker's report has changed.
+
+    ``jobs`` have to be recorded before the ends are acknowledged;
+    ``strays`` are runs that should not be at the worker.
+    """
+
+    jobs: tuple[JobProgress, ...]
+    strays: tuple[RunId, ...]
+
+
+class Book:
+    """
+    The jobs of one service.
+
+    ``waiting`` holds the tasks to be started, the oldest first; ``dirty``
+    the jobs to be recorded; ``surplus`` the attempts to be stopped.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.jobs: dict[str, JobProgress] = {}
+        self.waiting: dict[TaskId, Task] = {}
+        self.timed: dict[str, JobProgress] = {}
+        self.dirty: dict[str, JobProgress] = {}
+        self.surplus: dict[RunId, Attempt] = {}
+        self.at: dict[Life, dict[RunId, Attempt]] = {}
+        self.used: dict[Life, Room] = {}
+
+    def add(self, job: Job, queue: Queue, wall: int) -> JobProgress | None:
+        """Take a job that nobody has begun; None if it is known."""
+        if job.job_id in self.jobs:
+            return None
+        progress = JobProgress(job, queue, version=0)
+        self.jobs[job.job_id] = progress
+        self.timed[job.job_id] = progress
+        self.open_due(wall)
+        return progress
+
+    def restore(
+        self,
+        progress: JobProgress,
+        row: ProgressRow,
+        wall: int,
+        now: int,
+    ) -> None:
+        """Take over a job that an earlier scheduler recorded."""
+        progress.restore(row, wall, now)
+        self.jobs[progress.job.job_id] = progress
+        if progress.next_due() is not None:
+            self.timed[progress.job.job_id] = progress
+        for attempt in progress.attempts():
+            self._put(attempt)
+        self._offer(progress.tasks())
+
+    def open_due(self, wall: int) -> None:
+        """Let the tasks wait whose occurrence is due."""
+        for job_id, progress in tuple(self.timed.items()):
+            self._offer(progress.open_due(wall))
+            if progress.next_due() is None:
+                self.timed.pop(job_id)
+
+    def next_due(self) -> int | None:
+        """Return when the next occurrence is due, ms since the epoch."""
+        dues = (progress.next_due() for progress in self.timed.values())
+        return min((due for due in dues if due is not None), default=None)
+
+    def plan(self, task: Task, life: Life, number: int, now: int) -> Attempt:
+        """Choose a worker for a waiting task; it has to be recorded next."""
+        attempt = Attempt(task, number, life, now)
+        task.last_run = number
+        task.attempts[number] = attempt
+        self.waiting.pop(task.task_id, None)
+        if task.job.state is JobState.queued:
+            task.job.state = JobState.running
+        self._put(attempt)
+        self.touch(task.job)
+        return attempt
+
+    def accept(self, attempt: Attempt, clock: int) -> None:
+        """Note that the worker runs *attempt*."""
+        attempt.seen_clock = max(attempt.seen_clock, clock)
+        attempt.task.job.begun = True
+        if attempt.phase in {Phase.ordered, Phase.unsettled, Phase.inherited}:
+            attempt.phase = Phase.running
+
+    def remove(self, attempt: Attempt) -> None:
+        """Note that *attempt* is over, or never was; its task may wait."""
+        if attempt.task.attempts.pop(attempt.number, None) is None:
+            return
+        self.surplus.pop(attempt.run, None)
+        there = self.at[attempt.life]
+        there.pop(attempt.run)
+        self.used[attempt.life] = self.used[attempt.life].minus(
+            room_of(attempt.task.step),
+        )
+        if not there:
+            self.at.pop(attempt.life)
+            self.used.pop(attempt.life)
+        self._offer((attempt.task,))
+
+    def take_report(self, life: Life, report: Report, wall: int) -> Noted:
+        """Bring the book in line with what a worker reports."""
+        changed: dict[str, JobProgress] = {}
+        for end in report.ended:
+            for progress in self._take_end(life, end, wall):
+                changed[progress.job.job_id] = progress
+        strays = tuple(
+            status.run
+            for status in report.running
+            if not self._take_status(life, status, report.clock)
+        )
+        if report.whole:
+            self._drop_missing(life, report)
+        return Noted(tuple(changed.values()), strays)
+
+    def lose(self, life: Life) -> list[Attempt]:
+        """Note that nothing runs at *life* any more; return what did."""
+        lost = list(self.at.get(life, {}).values())
+        for attempt in lost:
+            self.remove(attempt)
+        return lost
+
+    def cancel(self, job_id: str, wall: int) -> JobProgress | None:
+        """Make a job cancelled; None if it is not known, or final."""
+        progress = self.jobs.get(job_id)
+        if progress is None or progress.state.final:
+            return None
+        self._settle(progress, progress.finish(JobState.cancelled, wall))
+        return progress
+
+    def forget(self, job_id: str) -> None:
+        """Drop a job that has been final for long."""
+        self.jobs.pop(job_id, None)
+
+    def touch(self, progress: JobProgress) -> None:
+        """Note that a job has to be recorded."""
+        progress.touch()
+        self.dirty[progress.job.job_id] = progress
+
+    def runs_at(self, life: Life) -> list[Attempt]:
+        """Return the attempts that may be at a worker."""
+        return list(self.at.get(life, {}).values())
+
+    def _offer(self, tasks: Iterable[Task]) -> None:
+        for task in tasks:
+            if task.waiting and not task.job.state.final:
+                self.waiting[task.task_id] = task
+
+    def _put(self, attempt: Attempt) -> None:
+        life = attempt.life
+        self.at.setdefault(life, {})[attempt.run] = attempt
+        used = self.used.get(life, NOTHING)
+        self.used[life] = used.plus(room_of(attempt.task.step))
+
+    def _settle(self, progress: JobProgress, ended: Ended) -> None:
+        self._offer(ended.opened)
+        for attempt in ended.surplus:
+            self.surplus[attempt.run] = attempt
+        if progress.state.final:
+            for task in progress.tasks():
+                self.waiting.pop(task.task_id, None)
+        self.touch(progress)
+
+    def _take_end(
+        self,
+        life: Life,
+        end: RunEnd,
+        wall: int,
+    ) -> list[JobProgress]:
+        attempt = self.at.get(life, {}).get(end.run)
+        if attempt is None:
+            return []
+        task = attempt.task
+        task.checkpoint = checkpoint_of(end, task)
+        counted = end.ending in COUNTED and not task.job.state.final
+        if counted and end.ending is Ending.failed:
+            self._settle(task.job, task.job.take_failure(task, life, wall))
+        elif counted and not task.step.long_running:
+            self._settle(task.job, task.job.take_done(task, wall))
+        self.remove(attempt)
+        return [task.job] if counted else []
+
+    def _take_status(self, life: Life, status: RunStatus, clock: int) -> bool:
+        attempt = self.at.get(life, {}).get(status.run)
+        if attempt is None:
+            attempt = self._adopt(life, status)
+        if attempt is None:
+            return False
+        self.accept(attempt, clock)
+        attempt.percent = status.percent
+        attempt.usage = status.usage
+        attempt.task.checkpoint = status.checkpoint or attempt.task.checkpoint
+        return True
+
+    def _adopt(self, life: Life, status: RunStatus) -> Attempt | None:
+        task_id, number = status.run
+        progress = self.jobs.get(task_id.job_id)
+        task = progress.task(task_id) if progress else None
+        if task is None or not task.waiting or task.job.state.final:
+            return None
+        attempt = Attempt(task, number, life, 0)
+        attempt.phase = Phase.running
+        task.attempts[number] = attempt
+        task.last_run = max(task.last_run, number)
+        self.waiting.pop(task_id, None)
+        self._put(attempt)
+        self.touch(task.job)
+        return attempt
+
+    def _drop_missing(self, life: Life, report: Report) -> None:
+        listed = {status.run for status in report.running}
+        for attempt in self.runs_at(life):
+            if attempt.run in listed:
+                continue
+            known_there = attempt.phase in {Phase.running, Phase.stopping}
+            later = report.clock > attempt.seen_clock
+            if attempt.phase is Phase.inherited or (known_there and later):
+                self.remove(attempt)
+
+
+def room_of(step: Step) -> Room:
+    """Return what a task of *step* takes from its worker's room."""
+    return step.room._replace(cpu=0) if step.best_effort else step.room
--- /dev/null
+++ b/cyclamenshift/decisions/leases.py
@@ -0,0 +1,71 @@
+"""
+cyclamenshift.decisions.leases
+==============================
+
+What can be said of a worker's clock and lease from here.
+"""
+
+from typing import Final
+
+#: How much slower than true a worker's clock may run, per cent.  From the
+#: platform's description of leases.
+CLOCK_LAG_PERCENT: Final = 2
+PERCENT: Final = 100
+
+
+class Lease:
+    """
+    The lease that one scheduler gives to one life of a worker.
+
+    Times of the worker are on its own clock; ``now`` is monotonic here.
+    Until the worker has answered once, ``open_until`` bounds, on the clock
+    here, the leases that earlier schedulers may have given.
+    """
+
+    def __init__(self, open_until: int) -> None:
+        """Know nothing of the worker's clock."""
+        self.open_until = open_until
+        self.clock = 0
+        self.answered_at: int | None = None
+        self.granted = 0
+
+    @property
+    def known(self) -> bool:
+        """Whether the worker has ever told its time."""
+        return self.answered_at is not None
+
+    def observe(self, clock: int, now: int) -> None:
+        """Note the time that the worker told in an answer just now."""
+        if clock >= self.earliest(now):
+            self.clock = clock
+            self.answered_at = now
+
+    def estimate(self, now: int) -> int:
+        """Return the worker's likely time."""
+        if self.answered_at is None:
+            return 0
+        return self.clock + now - self.answered_at
+
+    def earliest(self, now: int) -> int:
+        """Return the least that the worker's clock may show."""
+        if self.answered_at is None:
+            return 0
+        elapsed = now - self.answered_at
+        return self.clock + elapsed * (PERCENT - CLOCK_LAG_PERCENT) // PERCENT
+
+    def grant(self, now: int, length: int) -> int:
+        """Return the expiry of a lease of *length* ms from now."""
+        expires = self.estimate(now) + length
+        self.granted = max(self.granted, expires)
+        return expires
+
+    def over(self, now: int) -> bool:
+        """Return whether every lease given has certainly expired."""
+        if self.answered_at is None:
+            return now >= self.open_until
+        return now >= self.open_until and self.earliest(now) > self.granted
+
+
+def slowest(length: int) -> int:
+    """Return how long *length* ms of a worker's clock may last, ms."""
+    return -(-length * PERCENT // (PERCENT - CLOCK_LAG_PERCENT))
--- /dev/null
+++ b/cyclamenshift/decisions/placement.py
@@ -0,0 +1,118 @@
+"""
+cyclamenshift.decisions.placement
+=================================
+
+Which waiting task starts at which worker.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from ..job import Room
+from ..worker import Worker
+from .book import room_of
+from .progress import Life, Task
+
+
+class Bench:
+    """A worker that may take tasks, and the room that it has left."""
+
+    def __init__(self, worker: Worker, free: Room) -> None:
+        """Start with *free* room."""
+        self.worker = worker
+        self.free = free
+
+    @property
+    def life(self) -> Life:
+        """The life of the worker."""
+        return self.worker.life
+
+
+class Placement(NamedTuple):
+    """A task to be started at the worker with this life."""
+
+    task: Task
+    life: Life
+
+
+class Ranked(NamedTuple):
+    """A worker that could take a task; the lowest is chosen."""
+
+    far: bool
+    failed_there: bool
+    left: int
+    worker_id: str
+    bench: Bench
+
+
+def place(
+    tasks: Iterable[Task],
+    benches: Mapping[Life, Bench],
+) -> list[Placement]:
+    """
+    Return where the *tasks*, the most urgent first, start now.
+
+    A task takes the fullest worker that has room for it, near its data if
+    it can.  What does not fit waits, and does not hold up what comes after.
+    """
+    placements: list[Placement] = []
+    for task in tasks:
+        bench = _choose(task, benches.values(), placements)
+        if bench is not None:
+            bench.free = bench.free.minus(room_of(task.step))
+            placements.append(Placement(task, bench.life))
+    return placements
+
+
+def _choose(
+    task: Task,
+    benches: Iterable[Bench],
+    placements: Iterable[Placement],
+) -> Bench | None:
+    room = room_of(task.step)
+    taken = _taken(task, placements)
+    ranked = [
+        Ranked(
+            far=_is_far(task, bench.worker),
+            failed_there=bench.life in task.failed_at,
+            left=bench.free.cpu,
+            worker_id=bench.worker.worker_id,
+            bench=bench,
+        )
+        for bench in benches
+        if bench.free.holds(room)
+        and _is_allowed(task, bench.worker, taken.get(bench.life, 0))
+    ]
+    return min(ranked)[-1] if ranked else None
+
+
+def _taken(task: Task, placements: Iterable[Placement]) -> dict[Life, int]:
+    """Return how many tasks of the step each worker has, or is to have."""
+    if not task.step.worker_limit:
+        return {}
+    step_key = (task.task_id.occurrence, task.task_id.step)
+    siblings = task.job.steps[step_key]
+    lives = [
+        attempt.life
+        for sibling in siblings
+        for attempt in sibling.attempts.values()
+    ]
+    lives.extend(
+        placement.life for placement in placements if placement.task in siblings
+    )
+    counts: dict[Life, int] = {}
+    for life in lives:
+        counts[life] = counts.get(life, 0) + 1
+    return counts
+
+
+def _is_allowed(task: Task, worker: Worker, taken: int) -> bool:
+    step = task.step
+    if step.required_label and step.required_label not in worker.labels:
+        return False
+    return not step.worker_limit or taken < step.worker_limit
+
+
+def _is_far(task: Task, worker: Worker) -> bool:
+    preferred = task.step.preferred_rack
+    return bool(preferred) and preferred != worker.rack
--- /dev/null
+++ b/cyclamenshift/decisions/progress.py
@@ -0,0 +1,344 @@
+"""
+cyclamenshift.decisions.progress
+================================
+
+How far one job is: its steps, their tasks and the runs of these.
+"""
+
+import enum
+from collections.abc import Iterable, Iterator
+from typing import Final, NamedTuple, TypeAlias
+
+from ..directory import Queue
+from ..job import Ending, Job, JobState, RunEnd, RunId, Step, TaskId
+from ..jobrows import OpenRun, ProgressRow, TriedTask
+
+#: The id of a worker and the start of its life.
+Life: TypeAlias = tuple[str, int]
+
+#: The base of the digits in which done tasks are recorded.
+HEXADECIMAL: Final = 16
+
+
+class Phase(enum.StrEnum):
+    """Where an attempt stands."""
+
+    #: Chosen, not recorded or not ordered yet.
+    planned = 'planned'
+    #: Ordered, and not answered yet.
+    ordered = 'ordered'
+    #: Recorded by an earlier scheduler; its worker has not been asked yet.
+    inherited = 'inherited'
+    #: The order got no answer; it may run, or may still be carried out.
+    unsettled = 'unsettled'
+    running = 'running'
+    #: It was told to stop and has not ended yet.
+    stopping = 'stopping'
+
+
+class Attempt:
+    """One run of a task at a worker, from the choice to the end."""
+
+    def __init__(self, task: 'Task', number: int, life: Life, now: int) -> None:
+        """
+        Start planned at *now*, monotonic ms.
+
+        ``seen_clock`` is the worker's time when it was last known there.
+        """
+        self.task = task
+        self.number = number
+        self.life = life
+        self.phase = Phase.planned
+        self.since = now
+        self.seen_clock = 0
+        self.percent = 0
+        self.usage = 0
+
+    @property
+    def run(self) -> RunId:
+        """The run that this is."""
+        return RunId(self.task.task_id, self.number)
+
+
+class Task:
+    """One task of a step, with its attempts that are not over."""
+
+    def __init__(self, job: 'JobProgress', task_id: TaskId, step: Step) -> None:
+        """Start without an attempt."""
+        self.job = job
+        self.task_id = task_id
+        self.step = step
+        self.last_run = 0
+        self.failures = 0
+        self.checkpoint = ''
+        self.done = False
+        self.attempts: dict[int, Attempt] = {}
+        self.failed_at: set[Life] = set()
+
+    @property
+    def waiting(self) -> bool:
+        """Whether the task wants to be started."""
+        return not self.done and not self.attempts
+
+    def place(self) -> tuple[int, int, int]:
+        """Return occurrence, step and ordinal."""
+        return (
+            self.task_id.occurrence,
+            self.task_id.step,
+            self.task_id.ordinal,
+        )
+
+
+class Ended(NamedTuple):
+    """What an end of a run brings about."""
+
+    opened: tuple[Task, ...] = ()
+    surplus: tuple[Attempt, ...] = ()
+
+
+class JobProgress:
+    """
+    One job, as its scheduler knows it.
+
+    Tasks exist from when their step may begin.  ``generation`` grows with
+    each change that has to be recorded; ``recorded`` is the one last
+    written, under ``version``.
+    """
+
+    def __init__(self, job: Job, queue: Queue, version: int) -> None:
+        """Start with no task; ``open_due`` opens the first steps."""
+        self.job = job
+        self.queue = queue
+        self.state = JobState.queued
+        self.begun = False
+        self.steps: dict[tuple[int, int], list[Task]] = {}
+        self.finished: set[int] = set()
+        self.next_occurrence = 0
+        self.ended = 0
+        self.version = version
+        self.generation = 0
+        self.recorded = 0
+        self.final_generation = 0
+
+    @property
+    def occurrences(self) -> int:
+        """How many times the steps run."""
+        return max(1, self.job.occurrences)
+
+    def due(self, occurrence: int) -> int:
+        """Return when an occurrence may begin, ms since the epoch."""
+        if not self.job.occurrences:
+            return 0
+        return self.job.first_due + occurrence * self.job.interval
+
+    def next_due(self) -> int | None:
+        """Return when the next occurrence may begin, None for none."""
+        if self.state.final or self.next_occurrence >= self.occurrences:
+            return None
+        return self.due(self.next_occurrence)
+
+    def open_due(self, wall: int) -> list[Task]:
+        """Open the occurrences that are due; return their first tasks."""
+        opened: list[Task] = []
+        while True:
+            due = self.next_due()
+            if due is None or due > wall:
+                return opened
+            if self.next_occurrence not in self.finished:
+                opened.extend(self.open_ready_steps(self.next_occurrence))
+            self.next_occurrence += 1
+
+    def open_ready_steps(self, occurrence: int) -> list[Task]:
+        """Open the steps whose earlier ones are done; return their tasks."""
+        opened = []
+        for number, step in enumerate(self.job.steps):
+            if (occurrence, number) in self.steps:
+                continue
+            if all(self.step_done(occurrence, before) for before in step.after):
+                opened.extend(self.open_step(occurrence, number))
+        return opened
+
+    def open_step(self, occurrence: int, number: int) -> list[Task]:
+        """Create and return the tasks of one step."""
+        step = self.job.steps[number]
+        tasks = [
+            Task(
+                self, TaskId(self.job.job_id, occurrence, number, ordinal), step
+            )
+            for ordinal in range(step.tasks)
+        ]
+        self.steps[occurrence, number] = tasks
+        return tasks
+
+    def step_done(self, occurrence: int, number: int) -> bool:
+        """Return whether every task of a step is done."""
+        tasks = self.steps.get((occurrence, number))
+        return tasks is not None and all(task.done for task in tasks)
+
+    def task(self, task_id: TaskId) -> Task | None:
+        """Return a task whose step is open, None otherwise."""
+        tasks = self.steps.get((task_id.occurrence, task_id.step), ())
+        return tasks[task_id.ordinal] if task_id.ordinal < len(tasks) else None
+
+    def tasks(self) -> Iterator[Task]:
+        """Yield the tasks of the open steps."""
+        for tasks in self.steps.values():
+            yield from tasks
+
+    def attempts(self) -> list[Attempt]:
+        """Return the attempts that are not over."""
+        return [
+            attempt
+            for task in self.tasks()
+            for attempt in task.attempts.values()
+        ]
+
+    @property
+    def told_state(self) -> JobState:
+        """The state that callers may be told: a final one once recorded."""
+        if not self.state.final:
+            return JobState.running if self.begun else JobState.queued
+        told = self.recorded >= self.final_generation
+        return self.state if told else JobState.running
+
+    def touch(self) -> None:
+        """Note that the row has to be written again."""
+        self.generation += 1
+
+    def take_done(self, task: Task, wall: int) -> Ended:
+        """Mark *task* as done; of a gang, one end stands for all."""
+        step_number = task.task_id.step
+        occurrence = task.task_id.occurrence
+        members = (
+            self.steps[occurrence, step_number] if task.step.gang else (task,)
+        )
+        for member in members:
+            member.done = True
+        surplus = tuple(task.attempts.values()) if task.step.speculative else ()
+        if not self.step_done(occurrence, step_number):
+            return Ended(surplus=surplus)
+        opened = tuple(self.open_ready_steps(occurrence))
+        self._finish_occurrence(occurrence, wall)
+        return Ended(opened, surplus)
+
+    def take_failure(self, task: Task, life: Life, wall: int) -> Ended:
+        """Count a failure; a task that used up its attempts fails the job."""
+        task.failures += 1
+        task.failed_at.add(life)
+        spent = task.failures >= self.queue.attempts
+        if spent and not task.step.long_running:
+            return self.finish(JobState.failed, wall)
+        return Ended()
+
+    def finish(self, state: JobState, wall: int) -> Ended:
+        """Make the job final; return the attempts to stop."""
+        self.state = state
+        self.ended = wall
+        self.final_generation = self.generation + 1
+        return Ended(surplus=tuple(self.attempts()))
+
+    def row(self) -> ProgressRow:
+        """Return what is recorded of the job."""
+        if self.state.final:
+            return ProgressRow(
+                state=self.state,
+                done=[],
+                finished=[],
+                open=[_open_run(attempt) for attempt in self.attempts()],
+                tried=[],
+                ended=self.ended,
+            )
+        return ProgressRow(
+            state=self.state,
+            done=[
+                (occurrence, number, _bits(tasks))
+                for (occurrence, number), tasks in self.steps.items()
+                if any(task.done for task in tasks)
+            ],
+            finished=sorted(self.finished),
+            open=[_open_run(attempt) for attempt in self.attempts()],
+            tried=[
+                TriedTask(
+                    task=task.place(),
+                    last_run=task.last_run,
+                    failures=task.failures,
+                    checkpoint=task.checkpoint,
+                )
+                for task in self.tasks()
+                if task.last_run and not task.done
+            ],
+            ended=0,
+        )
+
+    def restore(self, row: ProgressRow, wall: int, now: int) -> None:
+        """Take over what *row* says; its open runs come back as inherited."""
+        self.state = row['state']
+        self.ended = row['ended']
+        self.begun = self.state is not JobState.queued
+        self.finished = set(row['finished'])
+        for occurrence, number, bits in row['done']:
+            done = int(bits, HEXADECIMAL)
+            for task in self._opened(occurrence, number):
+                task.done = bool(done >> task.task_id.ordinal & 1)
+        if not self.state.final:
+            self.open_due(wall)
+            for begun in self._begun_occurrences():
+                self.open_ready_steps(begun)
+        for tried in row['tried']:
+            self._restore_tried(tried)
+        for open_run in row['open']:
+            self._restore_open(open_run, now)
+
+    def _restore_tried(self, tried: TriedTask) -> None:
+        occurrence, number, ordinal = tried['task']
+        task = self._opened(occurrence, number)[ordinal]
+        task.last_run = tried['last_run']
+        task.failures = tried['failures']
+        task.checkpoint = tried['checkpoint']
+
+    def _restore_open(self, open_run: OpenRun, now: int) -> None:
+        occurrence, number, ordinal = open_run['task']
+        task = self._opened(occurrence, number)[ordinal]
+        attempt = Attempt(task, open_run['run'], open_run['worker'], now)
+        attempt.phase = Phase.inherited
+        task.attempts[attempt.number] = attempt
+        task.last_run = max(task.last_run, attempt.number)
+
+    def _opened(self, occurrence: int, number: int) -> list[Task]:
+        tasks = self.steps.get((occurrence, number))
+        return tasks or self.open_step(occurrence, number)
+
+    def _begun_occurrences(self) -> list[int]:
+        return sorted(
+            {occurrence for occurrence, _step in self.steps} - self.finished,
+        )
+
+    def _finish_occurrence(self, occurrence: int, wall: int) -> None:
+        steps = range(len(self.job.steps))
+        if not all(self.step_done(occurrence, number) for number in steps):
+            return
+        self.finished.add(occurrence)
+        for number in steps:
+            self.steps.pop((occurrence, number))
+        if len(self.finished) == self.occurrences:
+            self.finish(JobState.completed, wall)
+
+
+def checkpoint_of(end: RunEnd, task: Task) -> str:
+    """Return where *task* may go on after *end*."""
+    if end.ending is Ending.done:
+        return ''
+    return end.checkpoint or task.checkpoint
+
+
+def _open_run(attempt: Attempt) -> OpenRun:
+    return OpenRun(
+        task=attempt.task.place(),
+        run=attempt.number,
+        worker=attempt.life,
+    )
+
+
+def _bits(tasks: Iterable[Task]) -> str:
+    number = sum(1 << task.task_id.ordinal for task in tasks if task.done)
+    return f'{number:x}'
--- /dev/null
+++ b/cyclamenshift/duties/__init__.py
@@ -0,0 +1,6 @@
+"""
+cyclamenshift.duties
+====================
+
+What one entry VM at a time does for all, found by name.
+"""
--- a/cyclamenshift/frontend.py
+++ b/cyclamenshift/frontend.py
@@ -5,7 +5,7 @@
 The base of the components that callers and operators reach over HTTP.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
 from typing import Any, ClassVar, cast
 
@@ -30,7 +30,7 @@
     """An HTTP server: a quart application on hypercorn's trio worker."""
 
     kind = 'frontend'
-    stage: ClassVar[int] = 6
+    stage: ClassVar[int] = 8
 
     def __init__(self, kernel: Host) -> None:
         """Create the application; listen when run."""
@@ -43,7 +43,7 @@
 
     async def listen(
         self,
-        settings: ListenSettings,
+        settings: Sequence[ListenSettings],
         task_status: trio.TaskStatus[None],
     ) -> None:
         """
@@ -52,7 +52,9 @@
         Raises StartError when the address can't be had.
         """
         config = Config()
-        config.bind = [f'{settings["host"]}:{settings["port"]}']
+        config.bind = [
+            '{host}:{port}'.format_map(address) for address in settings
+        ]
         config.accesslog = None
         config.errorlog = None
         config.include_server_header = False
@@ -62,7 +64,7 @@
             await self._serve(config, task_status)
         except OSError as error:
             raise StartError(
-                f'{self.name}: can not listen on {config.bind[0]}: {error}.',
+                f'{self.name}: can not listen on {config.bind}: {error}.',
                 'Free the port, or set another one in the settings.',
             ) from error
 
--- a/cyclamenshift/frontends/callers.py
+++ b/cyclamenshift/frontends/callers.py
@@ -55,6 +55,7 @@
     """Reads whole requests, and answers each with its one outcome."""
 
     name = 'callers'
+    works = frozenset(('requests',))
 
     def __init__(self, kernel: Host) -> None:
         """Set the routes and the bounds of bodies."""
@@ -80,7 +81,7 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve callers."""
-        await self.listen(self.settings, task_status)
+        await self.listen((self.settings,), task_status)
 
     async def drain(self) -> None:
         """
--- /dev/null
+++ b/cyclamenshift/frontends/job_operators.py
@@ -0,0 +1,49 @@
+"""
+cyclamenshift.frontends.job_operators
+=====================================
+
+The HTTP interface for operators of jobs, on a port of its own.
+"""
+
+import msgspec
+import trio
+from quart import Response
+
+from ..component import Host
+from ..frontend import Frontend
+from ..metrics import TEXT_FORMAT
+from ..plugin import register
+
+
+@register
+class JobOperatorFrontend(Frontend):
+    """Shows the state of one entry VM."""
+
+    name = 'job-operators'
+
+    def __init__(self, kernel: Host) -> None:
+        """Set the routes."""
+        super().__init__(kernel)
+        self.app.get('/metrics')(self.show_metrics)
+        self.app.get('/v1/dump')(self.show_dump)
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve operators."""
+        await self.listen((self.kernel.settings['operators'],), task_status)
+
+    async def show_metrics(self) -> Response:
+        """Return the metrics as Prometheus text."""
+        return Response(
+            self.kernel.metrics.render(),
+            content_type=TEXT_FORMAT,
+        )
+
+    async def show_dump(self) -> Response:
+        """Return the state of every component of this process."""
+        return Response(
+            msgspec.json.encode(self.kernel.dump(), order='sorted'),
+            content_type='application/json',
+        )
--- a/cyclamenshift/frontends/operators.py
+++ b/cyclamenshift/frontends/operators.py
@@ -49,6 +49,7 @@
     """Shows the state of the fleet and changes it."""
 
     name = 'operators'
+    works = frozenset(('requests',))
 
     def __init__(self, kernel: Host) -> None:
         """Set the routes."""
@@ -76,7 +77,7 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve operators."""
-        await self.listen(self.settings, task_status)
+        await self.listen((self.settings,), task_status)
 
     async def show_metrics(self) -> Response:
         """Return the metrics as Prometheus text."""
--- /dev/null
+++ b/cyclamenshift/jobmessages.py
@@ -0,0 +1,78 @@
+"""
+cyclamenshift.jobmessages
+=========================
+
+The bodies with which entry VMs speak of jobs and of who owns them.
+"""
+
+from typing import NamedTuple
+
+from .job import Job, JobState
+from .peer import body
+
+
+class Holding(NamedTuple):
+    """A domain that an entry VM owns, and the epoch of its row."""
+
+    domain: str
+    epoch: int
+
+
+@body
+class Holdings(NamedTuple):
+    """Everything that the sender owns."""
+
+    held: tuple[Holding, ...]
+
+
+@body
+class JobStored(NamedTuple):
+    """A job was stored; sent to the owner of its service."""
+
+    service: str
+    job: Job
+
+
+@body
+class JobCancelled(NamedTuple):
+    """A caller's cancel was stored; sent to the owner of the service."""
+
+    service: str
+    job_id: str
+
+
+@body
+class StateQuery(NamedTuple):
+    """How does this job stand?"""
+
+    service: str
+    job_id: str
+
+
+@body
+class StateAnswer(NamedTuple):
+    """
+    How a job stands; ``state`` is None where the owner knows no such job.
+
+    ``owned`` is false if the receiver does not own the service.
+    """
+
+    owned: bool
+    queue: str
+    state: JobState | None
+
+
+@body
+class CountQuery(NamedTuple):
+    """How many jobs of this queue have not begun?"""
+
+    service: str
+    queue: str
+
+
+@body
+class CountAnswer(NamedTuple):
+    """How many; ``owned`` is false if the receiver can't tell."""
+
+    owned: bool
+    waiting: int
--- a/cyclamenshift/kernel.py
+++ b/cyclamenshift/kernel.py
@@ -17,7 +17,16 @@
 from .settings import Settings
 
 #: The packages whose modules register the plug-ins of this project.
-FAMILIES = ('stores', 'endpoints', 'controls', 'peers', 'frontends')
+FAMILIES = (
+    'sources',
+    'stores',
+    'endpoints',
+    'peers',
+    'controls',
+    'duties',
+    'frontends',
+    'platform',
+)
 
 log = get_logger('kernel')
 
@@ -45,10 +54,18 @@
 
     def get(self, base: type[ComponentType]) -> ComponentType:
         """Return the component that is a *base*."""
-        for component in self.components:
-            if isinstance(component, base):
-                return component
-        raise LookupError(base.__qualname__)
+        found = self.every(base)
+        if not found:
+            raise LookupError(base.__qualname__)
+        return found[0]
+
+    def every(self, base: type[ComponentType]) -> list[ComponentType]:
+        """Return each component that is a *base*."""
+        return [
+            component
+            for component in self.components
+            if isinstance(component, base)
+        ]
 
     def stop(self) -> None:
         """Ask for the graceful stop; asked again, end the grace period."""
--- a/cyclamenshift/model.py
+++ b/cyclamenshift/model.py
@@ -107,13 +107,18 @@
 
 
 class EntryVm(NamedTuple):
-    """An entry VM as the other entry VMs know it."""
+    """
+    An entry VM as the other entry VMs know it.
+
+    ``size`` is its processor time, in thousandths of a core.
+    """
 
     entry_id: str
     data_centre: str
     host: str
     port: int
     incarnation: str
+    size: int = 1000
 
 
 class Load(NamedTuple):
--- /dev/null
+++ b/cyclamenshift/platform/frontend.py
@@ -0,0 +1,143 @@
+"""
+cyclamenshift.platform.frontend
+===============================
+
+The HTTP interface of the platform's clients, who hand in jobs.
+"""
+
+import re
+from http import HTTPStatus
+from typing import Final, NamedTuple
+
+import quart
+import trio
+from quart import Response
+
+from ..component import Host
+from ..controls.desk import JobDesk, NoSuchJob, Stored
+from ..decisions.admission import problem_with
+from ..directory import Directory, Queue
+from ..frontend import Frontend, read_body
+from ..plugin import register
+from ..store import Unavailable
+from .answers import bad_request, cancelled, plain, refusal, respond
+from .jobs import JobBody, job_of
+from .wire import Unreadable, decode
+
+#: What the ids of jobs look like.
+JOB_ID: Final = re.compile('[0-9a-f]{16}')
+#: How long the caller waits, ms; from the header, less the way back.
+DEADLINE: Final = 'X-Deadline-Ms'
+DEFAULT_WAIT_MS: Final = 3_000
+WAY_BACK_MS: Final = 50
+
+
+class Target(NamedTuple):
+    """The queue that a request names, and the rest of its path."""
+
+    queue: Queue
+    rest: str
+
+
+@register
+class PlatformFrontend(Frontend):
+    """Jobs by host and path prefix, and readiness."""
+
+    name = 'platform'
+
+    def __init__(self, kernel: Host) -> None:
+        """Set the routes."""
+        super().__init__(kernel)
+        self.directory = kernel.get(Directory)
+        self.desk = kernel.get(JobDesk)
+        self.app.before_request(self.answer)
+        self.app.after_request(self._close_when_draining)
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve callers, and whoever asks for readiness."""
+        settings = self.kernel.settings
+        await self.listen(
+            (settings['callers'], settings['readiness']),
+            task_status,
+        )
+
+    async def answer(self) -> Response:
+        """Answer any request."""
+        request = quart.request
+        target = self._target(request.host, request.path)
+        if target is not None:
+            return await self._answer_for(target)
+        if request.path == '/v1/ready':
+            return plain(self._readiness())
+        if self.directory.catalog is None:
+            return refusal('there is no configuration yet')
+        return plain(HTTPStatus.NOT_FOUND)
+
+    async def _answer_for(self, target: Target) -> Response:
+        if quart.request.method == 'POST':
+            return await self._submit(target)
+        if quart.request.method == 'DELETE':
+            return cancelled(await self._cancel(target))
+        if target.rest:
+            state = await self.desk.state_of(target.queue, target.rest)
+            return respond(state)
+        return respond(await self.desk.waiting(target.queue))
+
+    async def _submit(self, target: Target) -> Response:
+        if not JOB_ID.fullmatch(target.rest):
+            return bad_request('the id is not 16 hexadecimal digits')
+        body = decode(await read_body(), JobBody)
+        if isinstance(body, Unreadable):
+            return bad_request(body.reason)
+        job = job_of(
+            target.rest,
+            target.queue.name,
+            body,
+            self.clock.wall(),
+        )
+        problem = problem_with(job)
+        if problem:
+            return bad_request(problem)
+        return respond(await self.desk.submit(target.queue, job, _wait()))
+
+    async def _cancel(
+        self,
+        target: Target,
+    ) -> Stored | NoSuchJob | Unavailable:
+        return await self.desk.cancel(target.queue, target.rest, _wait())
+
+    def _target(self, host: str, path: str) -> Target | None:
+        catalog = self.directory.catalog
+        queues = catalog.queues.values() if catalog else ()
+        found = [
+            queue
+            for queue in queues
+            if queue.host == host and path.startswith(queue.prefix)
+        ]
+        if not found:
+            return None
+        queue = max(found, key=_prefix_length)
+        return Target(queue, path.removeprefix(queue.prefix))
+
+    def _readiness(self) -> HTTPStatus:
+        if self.kernel.draining or self.directory.catalog is None:
+            return HTTPStatus.SERVICE_UNAVAILABLE
+        return HTTPStatus.OK
+
+    async def _close_when_draining(self, response: Response) -> Response:
+        if self.kernel.draining:
+            response.headers['Connection'] = 'close'
+        return response
+
+
+def _wait() -> int:
+    text = quart.request.headers.get(DEADLINE, '')
+    wait = int(text) if text.isdecimal() else DEFAULT_WAIT_MS
+    return max(1, wait - WAY_BACK_MS)
+
+
+def _prefix_length(queue: Queue) -> int:
+    return len(queue.prefix)
--- /dev/null
+++ b/cyclamenshift/platform/settings.py
@@ -0,0 +1,137 @@
+"""
+cyclamenshift.platform.settings
+===============================
+
+Settings from the file that the platform puts on each machine.
+"""
+
+import pathlib
+from typing import Any, Final, NotRequired, TypedDict, cast
+
+import yaml
+
+from .. import settings
+from ..clock import SECOND_MS
+from ..decisions.merging import Document
+from ..errors import SettingsError
+from ..plugin import register
+from ..source import Source
+from .wire import Unreadable, address_of, convert
+
+#: A core, in thousandths.
+CORE: Final = 1_000
+#: How long a worker works on without hearing from its scheduler, ms; the
+#: platform's longest lease bounds it.
+LEASE_MS: Final = 4_000
+#: How much longer than the longest lease tasks may work on while nobody
+#: reaches the store, ms.
+HORIZON_MARGIN_MS: Final = 3_000
+#: The name of the adapter's plug-ins.
+NAME: Final = 'platform'
+
+#: What the processor of a machine gives.
+LimitsBody = TypedDict('LimitsBody', {'cpuShare': float, 'cpuCores': float})
+#: Where the process listens.
+ListenBody = TypedDict(
+    'ListenBody',
+    {
+        # Towards clients, whom this package calls callers.
+        'front': NotRequired[str],
+        'ready': NotRequired[str],
+        # Towards the other processes of the system, not operators.
+        'control': NotRequired[str],
+    },
+)
+#: The bounds that the platform sets; those that are used here.
+BoundsBody = TypedDict(
+    'BoundsBody',
+    {
+        # How long a process may take to stop.
+        'graceS': NotRequired[float],
+        # The longest lease of a worker.
+        'maxHoldMs': NotRequired[int],
+        # How long the state of a job can be asked for.
+        'status_s': NotRequired[float],
+    },
+)
+#: The address of one of the platform's services.
+ServiceBody = TypedDict('ServiceBody', {'address': str})
+#: The whole file; what is not named here is not used.
+SettingsBody = TypedDict(
+    'SettingsBody',
+    {
+        'node': str,
+        'ip': str,
+        'zone': str,
+        'listen': ListenBody,
+        'portRange': list[int],
+        'limits': LimitsBody,
+        'bounds': BoundsBody,
+        'platform': ServiceBody,
+        'cloud': ServiceBody,
+    },
+)
+
+
+@register
+class PlatformSource(Source):
+    """Reads the platform's own layout."""
+
+    name = NAME
+
+    def load(self, path: pathlib.Path) -> settings.Settings:
+        """Return the settings in the file *path*."""
+        try:
+            values = yaml.safe_load(path.read_text(encoding='utf-8'))
+        except (OSError, yaml.YAMLError) as error:
+            raise SettingsError(
+                f'{path}: the file can not be read: {error}.',
+                'Start the process where the platform has put the file.',
+            ) from error
+        body = convert(values, SettingsBody)
+        if isinstance(body, Unreadable):
+            raise SettingsError(
+                f'{path}: {body.reason}.',
+                'Compare the file with the version of the platform.',
+            )
+        return settings.check(Document(_values(body), {}))
+
+
+def _values(body: SettingsBody) -> dict[str, Any]:
+    bounds = body['bounds']
+    longest = bounds.get('maxHoldMs', LEASE_MS)
+    limits = body['limits']
+    size = limits['cpuShare'] * limits['cpuCores'] * CORE
+    return {
+        'entry': {
+            'id': body['node'],
+            'data_centre': body['zone'],
+            'work': 'jobs',
+            'size': max(1, round(size)),
+            'grace': round(bounds.get('graceS', 1) * SECOND_MS),
+        },
+        'callers': {'plugin': NAME, **_listen(body, 'front')},
+        'readiness': _listen(body, 'ready'),
+        'operators': {
+            'plugin': 'job-operators',
+            'host': body['ip'],
+            'port': body['portRange'][0],
+        },
+        'peers': _listen(body, 'control'),
+        'store': {'plugin': NAME, 'address': body['platform']['address']},
+        'jobs': {
+            'plugin': NAME,
+            'lease': min(LEASE_MS, longest),
+            'lease_horizon': longest + HORIZON_MARGIN_MS,
+            'keep_final': round(bounds.get('status_s', 0) * SECOND_MS) or 1,
+            'provider': body['cloud']['address'],
+        },
+    }
+
+
+def _listen(body: SettingsBody, name: str) -> dict[str, Any]:
+    listen = cast(dict[str, str], body['listen'])
+    if name not in listen:
+        return {'host': body['ip'], 'port': 0}
+    address = address_of(listen[name])
+    return {'host': address.host, 'port': address.port}
--- /dev/null
+++ b/cyclamenshift/platform/store.py
@@ -0,0 +1,288 @@
+"""
+cyclamenshift.platform.store
+============================
+
+The platform's table and objects, as a store.
+"""
+
+import base64
+from collections.abc import Mapping, Sequence
+from http import HTTPStatus
+from typing import Any, Final, NotRequired, TypedDict, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from ..component import Dump, Host
+from ..decisions.timeouts import Timeout
+from ..http1 import Answer, Call, Client, NoAnswer, NotSent
+from ..plugin import register
+from ..store import (
+    ABSENT,
+    Committed,
+    CommitResult,
+    Conflict,
+    Fields,
+    HistoryLost,
+    Key,
+    Row,
+    Snapshot,
+    Store,
+    Transaction,
+    Unavailable,
+    Uncertain,
+)
+from .wire import (
+    OPERATOR_TABLE,
+    STATUS_TABLE,
+    WORKER_TABLE,
+    Unreadable,
+    address_of,
+    decode,
+)
+
+ResultType = TypeVar('ResultType')
+
+#: The tables whose values others read or write, so that they are JSON.
+JSON_TABLES: Final = frozenset((OPERATOR_TABLE, STATUS_TABLE, WORKER_TABLE))
+#: The bounds of the wait for an answer, ms.  An answer takes 4 ms, and up
+#: to sixty times that where the platform is slow.
+SHORTEST_WAIT_MS: Final = 150
+LONGEST_WAIT_MS: Final = 1_500
+
+
+#: A row; a dropped one has no value.
+RowBody = TypedDict(
+    'RowBody',
+    {
+        'table': str,
+        'part': NotRequired[str],
+        'key': str,
+        'ver': NotRequired[int],
+        'value': NotRequired[str],
+        'removed': NotRequired[bool],
+    },
+)
+#: Rows; ``ver`` is the newest version of the whole store.
+RowsBody = TypedDict(
+    'RowsBody',
+    {
+        'rows': NotRequired[list[RowBody]],
+        'hasMore': NotRequired[bool],
+        'ver': NotRequired[int],
+    },
+)
+
+
+@register
+class PlatformStore(Store):
+    """Calls the platform's store over HTTP."""
+
+    name = 'platform'
+
+    def __init__(self, kernel: Host) -> None:
+        """Prepare the client; connect with the first call."""
+        super().__init__(kernel)
+        self.address = address_of(kernel.settings['store']['address'])
+        self.client = Client(self.clock)
+        self.timeout = Timeout(SHORTEST_WAIT_MS, LONGEST_WAIT_MS)
+        self.last_error = ''
+
+    async def read(self, keys: Sequence[Key]) -> list[Row] | Unavailable:
+        """Return one row for each key."""
+        rows = []
+        for key in keys:
+            query = {
+                'table': key.table,
+                'part': key.part,
+                'from': key.name,
+                'limit': 1,
+            }
+            page = await self._get('rows-get', query)
+            if isinstance(page, Unavailable):
+                return page
+            found = {row.key: row for row in _rows(page)}
+            rows.append(found.get(key, Row(key, ABSENT, {})))
+        return rows
+
+    async def scan(self, table: str, part: str = '') -> Snapshot | Unavailable:
+        """Return the rows of one part of a table, page after page."""
+        rows: list[Row] = []
+        query: dict[str, Any] = {'table': table, 'part': part}
+        while True:
+            page = await self._get('rows-get', query)
+            if isinstance(page, Unavailable):
+                return page
+            rows.extend(_rows(page))
+            if not page.get('hasMore'):
+                return Snapshot(tuple(rows), page.get('ver', ABSENT))
+            last = rows[-1].key.name
+            query['from'] = f'{last}\0'
+
+    async def follow(
+        self,
+        table: str,
+        version: int,
+        wait: int,
+    ) -> Snapshot | HistoryLost | Unavailable:
+        """Return the rows of a table that changed after *version*."""
+        query = {'table': table, 'after': version, 'waitMs': wait}
+        page = await self._get('rows-feed', query, wait)
+        if isinstance(page, Unavailable):
+            lost = page.reason == str(HTTPStatus.GONE.value)
+            return HistoryLost() if lost else page
+        return Snapshot(tuple(_rows(page)), page.get('ver', version))
+
+    async def commit(self, transaction: Transaction) -> CommitResult:
+        """Apply *transaction* whole, or not at all."""
+        body = msgspec.json.encode(_transaction_body(transaction))
+        result = await self._call('POST', '/v1/rows-tx', body, 0)
+        return self._count('commit', _commit_result(result, transaction))
+
+    async def put_object(self, name: str, body: bytes) -> bool:
+        """Store *body*; return whether it is certainly there."""
+        result = await self._call('PUT', f'/v1/blob-put/{name}', body, 0)
+        return isinstance(result, Answer) and result.status == HTTPStatus.OK
+
+    async def get_object(self, name: str) -> bytes | Unavailable:
+        """Return the object, or Unavailable if it can't be had."""
+        result = await self._call('GET', f'/v1/blob-get/{name}', b'', 0)
+        if isinstance(result, Answer) and result.status == HTTPStatus.OK:
+            return result.body
+        return Unavailable(f'The object {name} could not be read.')
+
+    def dump(self) -> Dump:
+        """Return the address, the present wait and the last error."""
+        return {
+            'address': str(self.address),
+            'wait_ms': self.timeout.current(),
+            'connections_opened': self.client.opened,
+            'last_error': self.last_error,
+        }
+
+    async def _get(
+        self,
+        call: str,
+        query: Mapping[str, Any],
+        wait: int = 0,
+    ) -> RowsBody | Unavailable:
+        target = f'/v1/{call}?{urlencode(query)}'
+        result = await self._call('GET', target, b'', wait)
+        if isinstance(result, Answer):
+            return self._count('read', _page(result))
+        return self._count('read', Unavailable(result.reason))
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        wait: int,
+    ) -> Answer | NotSent | NoAnswer:
+        started = self.clock.now()
+        longest = wait + self.timeout.current()
+        call = Call(method, target, body, longest)
+        result = await self.client.call(self.address, call)
+        if isinstance(result, Answer):
+            if not wait:
+                self.timeout.record(self.clock.now() - started)
+        else:
+            self.timeout.expire()
+            self.last_error = f'{target}: {result.reason}'
+        return result
+
+    def _count(self, operation: str, result: ResultType) -> ResultType:
+        labels = {'operation': operation, 'result': type(result).__name__}
+        self.kernel.metrics.store_calls.inc(labels)
+        return result
+
+
+def _page(answer: Answer) -> RowsBody | Unavailable:
+    if answer.status != HTTPStatus.OK:
+        return Unavailable(str(answer.status))
+    page = decode(answer.body, RowsBody)
+    return Unavailable(page.reason) if isinstance(page, Unreadable) else page
+
+
+def _rows(page: RowsBody) -> list[Row]:
+    return [_row(body) for body in page.get('rows', ())]
+
+
+def _row(body: RowBody) -> Row:
+    key = Key(body['table'], body['key'], body.get('part', ''))
+    if body.get('removed') or 'value' not in body:
+        return Row(key, ABSENT, {})
+    return Row(key, body.get('ver', ABSENT), _fields(key, body['value']))
+
+
+def _fields(key: Key, value: str) -> Fields:
+    """Return the fields of a row; none for bytes that can't be read."""
+    decode_fields = (
+        msgspec.json.decode
+        if key.table in JSON_TABLES
+        else msgspec.msgpack.decode
+    )
+    try:
+        return decode_fields(base64.b64decode(value), type=dict[str, Any])
+    except (msgspec.MsgspecError, ValueError):
+        return {}
+
+
+def _value(key: Key, fields: Fields) -> str:
+    encoder = msgspec.json if key.table in JSON_TABLES else msgspec.msgpack
+    return base64.b64encode(encoder.encode(fields)).decode()
+
+
+def _transaction_body(transaction: Transaction) -> dict[str, Any]:
+    return {
+        'precondition': [
+            {**_place(check.key), 'ver': check.version}
+            for check in transaction.checks
+        ],
+        'puts': [
+            {**_place(write.key), 'value': _value(write.key, write.fields)}
+            for write in transaction.writes
+            if write.fields is not None
+        ],
+        'remove': [
+            _place(write.key)
+            for write in transaction.writes
+            if write.fields is None
+        ],
+    }
+
+
+def _place(key: Key) -> dict[str, str]:
+    return {'table': key.table, 'part': key.part, 'key': key.name}
+
+
+def _commit_result(
+    result: Answer | NotSent | NoAnswer,
+    transaction: Transaction,
+) -> CommitResult:
+    if isinstance(result, NoAnswer):
+        return Uncertain(result.reason)
+    if isinstance(result, NotSent):
+        return Unavailable(result.reason)
+    if result.status == HTTPStatus.PRECONDITION_FAILED:
+        return _conflict(result, transaction)
+    page = _page(result)
+    if isinstance(page, Unavailable):
+        return page
+    return Committed(page.get('ver', ABSENT))
+
+
+def _conflict(
+    result: Answer,
+    transaction: Transaction,
+) -> Conflict | Uncertain:
+    page = decode(result.body, RowsBody)
+    if isinstance(page, Unreadable):
+        return Uncertain(page.reason)
+    present = {row.key: row for row in _rows(page)}
+    return Conflict(
+        tuple(
+            present.get(check.key, Row(check.key, ABSENT, {}))
+            for check in transaction.checks
+        ),
+    )
--- a/cyclamenshift/rows.py
+++ b/cyclamenshift/rows.py
@@ -72,6 +72,7 @@
     host: str
     port: int
     incarnation: str
+    size: int
 
 
 class ClaimRow(TypedDict):
--- /dev/null
+++ b/cyclamenshift/scheduling/keeper.py
@@ -0,0 +1,95 @@
+"""
+cyclamenshift.scheduling.keeper
+===============================
+
+Keeps one worker: renews its lease while something runs, and takes reports.
+"""
+
+from functools import singledispatchmethod
+from typing import Final
+
+from ..worker import Refused, RefusalReason, Renewal, Report, Unanswered
+from .state import ServiceState
+from .station import Station
+
+#: How long a worker may wait for an end before it reports, ms.
+REPORT_WAIT_MS: Final = 1_000
+#: The wait before a worker that did not answer is asked again, ms.
+RETRY_MS: Final = 150
+#: The wait before a worker that is not registered any more is asked, ms.
+UNREGISTERED_RETRY_MS: Final = 500
+
+
+class Keeper:
+    """The task of one worker."""
+
+    def __init__(self, state: ServiceState, station: Station) -> None:
+        """Keep *station*."""
+        self.state = state
+        self.station = station
+        self.clock = state.clock
+
+    async def keep(self) -> None:
+        """Renew and take reports, until the worker's life is over."""
+        station = self.station
+        while not station.gone:
+            wanted = station.wanted
+            if station.surveyed and not self.state.has_runs(station):
+                await wanted.wait()
+            await self.renew(REPORT_WAIT_MS if station.surveyed else 0)
+
+    async def renew(self, wait: int) -> None:
+        """Renew once, and take the report."""
+        order = Renewal(
+            expires=self.state.grant(self.station),
+            fence=self.state.tenure.epoch,
+            acknowledged=self.station.acknowledged,
+            wait=wait,
+        )
+        worker = self.station.worker
+        await self._take(await self.state.client.renew(worker, order))
+
+    @singledispatchmethod
+    async def _take(self, result: Report | Refused | Unanswered) -> None:
+        raise NotImplementedError(type(result).__qualname__)
+
+    @_take.register
+    async def _take_report(self, result: Report) -> None:
+        station = self.station
+        if result.born != station.worker.born:
+            self.state.end_life(station, 'born again')
+            return
+        station.lease.observe(result.clock, self.clock.now())
+        station.misses = 0
+        station.surveyed = True
+        noted = self.state.take_report(station, result)
+        await self.state.recorder.recorded(*noted.jobs)
+        last = max((end.number for end in result.ended), default=0)
+        station.acknowledged = max(station.acknowledged, last)
+
+    @_take.register
+    async def _take_refused(self, result: Refused) -> None:
+        if result.reason is RefusalReason.replaced:
+            self.state.end_life(self.station, 'replaced')
+        elif result.reason is RefusalReason.fenced:
+            await self.state.check_tenure()
+        else:
+            await self._miss(f'refused: {result.reason}')
+
+    @_take.register
+    async def _take_nothing(self, result: Unanswered) -> None:
+        await self._miss(result.reason)
+
+    async def _miss(self, reason: str) -> None:
+        station = self.station
+        station.misses += 1
+        if station.misses == 1:
+            self.state.log.info(
+                '%s does not answer: %s.',
+                station.worker.worker_id,
+                reason,
+            )
+        if station.lease.over(self.clock.now()):
+            self.state.expire(station)
+        delay = RETRY_MS if station.registered else UNREGISTERED_RETRY_MS
+        await self.clock.sleep(delay)
--- /dev/null
+++ b/cyclamenshift/scheduling/orders.py
@@ -0,0 +1,169 @@
+"""
+cyclamenshift.scheduling.orders
+===============================
+
+Gives one order, and finds out what became of it: a task for each.
+"""
+
+from functools import singledispatchmethod
+from typing import Final
+
+from ..decisions.progress import Attempt, Phase
+from ..job import RunId
+from ..worker import (
+    Accepted,
+    OrderResult,
+    Refused,
+    RefusalReason,
+    Start,
+    Unanswered,
+)
+from .keeper import Keeper
+from .state import ServiceState
+from .station import Station
+
+#: How long an order to start stays valid, ms: long enough for a slow
+#: connection, short enough to be waited out.
+ORDER_VALID_MS: Final = 2_000
+#: How long nothing is started at a worker that had no room, ms.
+NO_ROOM_MS: Final = 100
+#: How long nothing is started at a worker that is unhealthy, ms.
+UNHEALTHY_MS: Final = 1_000
+#: The wait before an order that got no answer is given again, ms.
+RETRY_MS: Final = 150
+
+
+class StartTask:
+    """The task of one attempt, from its record to the worker's answer."""
+
+    def __init__(
+        self,
+        state: ServiceState,
+        station: Station,
+        attempt: Attempt,
+    ) -> None:
+        """Start *attempt* at *station*."""
+        self.state = state
+        self.station = station
+        self.attempt = attempt
+
+    async def run(self) -> None:
+        """Record the attempt, order it, and settle what came of it."""
+        await self.state.recorder.recorded(self.attempt.task.job)
+        if self._unwanted():
+            self.state.book.remove(self.attempt)
+            self.state.wake()
+            return
+        self.attempt.phase = Phase.ordered
+        self.station.want()
+        worker = self.station.worker
+        result = await self.state.client.start(worker, self._order())
+        await self._take(result)
+
+    def _unwanted(self) -> bool:
+        attempt = self.attempt
+        removed = attempt.number not in attempt.task.attempts
+        surplus = attempt.run in self.state.book.surplus
+        left = self.station.gone or self.station.worker.leaving
+        return removed or surplus or left or attempt.task.job.state.final
+
+    def _order(self) -> Start:
+        task = self.attempt.task
+        job = task.job.job
+        now = self.state.clock.now()
+        return Start(
+            run=self.attempt.run,
+            spec=job.spec,
+            expires=self.station.lease.grant(now, ORDER_VALID_MS),
+            fence=self.state.tenure.epoch,
+            checkpoint=task.checkpoint,
+        )
+
+    @singledispatchmethod
+    async def _take(self, result: OrderResult) -> None:
+        raise NotImplementedError(type(result).__qualname__)
+
+    @_take.register
+    async def _take_accepted(self, result: Accepted) -> None:
+        self.station.lease.observe(result.clock, self.state.clock.now())
+        self.state.book.accept(self.attempt, result.clock)
+
+    @_take.register
+    async def _take_refused(self, result: Refused) -> None:
+        now = self.state.clock.now()
+        if result.reason is RefusalReason.no_room:
+            self.station.shun(now + NO_ROOM_MS)
+        elif result.reason is RefusalReason.replaced:
+            self.state.end_life(self.station, 'replaced')
+        elif result.reason is RefusalReason.fenced:
+            await self.state.check_tenure()
+        elif result.reason is not RefusalReason.stale_run:
+            self.station.shun(now + UNHEALTHY_MS)
+        self.state.fail(self.attempt, result.reason)
+
+    @_take.register
+    async def _take_nothing(self, result: Unanswered) -> None:
+        if not result.sent:
+            self.station.shun(self.state.clock.now() + UNHEALTHY_MS)
+            self.state.fail(self.attempt, result.reason)
+            return
+        self.state.log.info(
+            '%s: no answer from %s: %s.',
+            self.attempt.run,
+            self.station.worker.worker_id,
+            result.reason,
+        )
+        if self.attempt.phase is Phase.ordered:
+            self.attempt.phase = Phase.unsettled
+        await Keeper(self.state, self.station).renew(0)
+        if self.attempt.phase is Phase.unsettled:
+            await stop(self.state, self.station, self.attempt)
+
+
+async def stop(
+    state: ServiceState,
+    station: Station,
+    attempt: Attempt,
+) -> None:
+    """Stop an attempt; return when it is over, or can't begin any more."""
+    while attempt.number in attempt.task.attempts:
+        result = await state.client.stop(
+            station.worker,
+            attempt.run,
+            state.tenure.epoch,
+        )
+        if isinstance(result, Accepted):
+            station.lease.observe(result.clock, state.clock.now())
+            attempt.phase = Phase.stopping
+            attempt.seen_clock = result.clock
+            station.want()
+            await Keeper(state, station).renew(0)
+            return
+        if await _is_over(state, station, result):
+            return
+        await state.clock.sleep(RETRY_MS)
+
+
+async def stop_stray(
+    state: ServiceState,
+    station: Station,
+    run: RunId,
+) -> None:
+    """Stop a run that no attempt stands for; tried once for each report."""
+    epoch = state.tenure.epoch
+    result = await state.client.stop(station.worker, run, epoch)
+    await _is_over(state, station, result)
+
+
+async def _is_over(
+    state: ServiceState,
+    station: Station,
+    result: OrderResult,
+) -> bool:
+    """Return whether a refusal or silence ends the worker's life here."""
+    if isinstance(result, Refused):
+        if result.reason is RefusalReason.replaced:
+            state.end_life(station, 'replaced')
+        elif result.reason is RefusalReason.fenced:
+            await state.check_tenure()
+    return station.gone
--- /dev/null
+++ b/cyclamenshift/scheduling/state.py
@@ -0,0 +1,149 @@
+"""
+cyclamenshift.scheduling.state
+==============================
+
+What the tasks of one service's scheduler share.
+"""
+
+from typing import Final
+
+import trio
+
+from ..component import Host
+from ..decisions.book import Book, Noted
+from ..decisions.leases import Lease, slowest
+from ..decisions.progress import Attempt, Life
+from ..duty import Tenure
+from ..job import RunId
+from ..jobrows import OwnerRow
+from ..logs import get_logger
+from ..rows import typed
+from ..store import Store, Unavailable
+from ..worker import Report, Worker, WorkerClient
+from .recorder import Recorder
+from .station import Station
+
+#: The wait before a call of the store that failed is tried again, ms.
+RETRY_MS: Final = 100
+
+
+class ServiceState:
+    """The jobs, the workers and the recorder of one service."""
+
+    def __init__(self, kernel: Host, tenure: Tenure) -> None:
+        """Start empty, under *tenure*."""
+        self.kernel = kernel
+        self.clock = kernel.clock
+        self.tenure = tenure
+        self.service = tenure.domain
+        self.settings = kernel.settings['jobs']
+        self.log = get_logger(f'scheduler.{self.service}')
+        self.store = kernel.get(Store)
+        self.client = kernel.get(WorkerClient)
+        self.book = Book()
+        self.recorder = Recorder(
+            tenure,
+            self.store,
+            self.book,
+            self.clock,
+            self.log,
+        )
+        self.stations: dict[Life, Station] = {}
+        self.strays: dict[Life, set[RunId]] = {}
+        self.started_at = self.clock.now()
+        self.changed = trio.Event()
+
+    def wake(self) -> None:
+        """Let the tasks that place and stop look again."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def station(self, worker: Worker) -> Station:
+        """Return the station of *worker*, made when it is first asked for."""
+        if worker.life not in self.stations:
+            open_until = self.started_at
+            if self.book.runs_at(worker.life):
+                open_until += slowest(self.settings['lease_horizon'])
+            self.stations[worker.life] = Station(worker, Lease(open_until))
+        return self.stations[worker.life]
+
+    def has_runs(self, station: Station) -> bool:
+        """Return whether anything may run at a worker."""
+        return bool(self.book.runs_at(station.worker.life))
+
+    def grant(self, station: Station) -> int:
+        """
+        Return the expiry of a new lease, 0 for none.
+
+        No lease reaches beyond ``lease_horizon`` after the last proof of
+        ownership: a successor waits that long for workers that it can't
+        reach.
+        """
+        now = self.clock.now()
+        if not station.lease.known:
+            return 0
+        unproved = now - self.tenure.confirmed_at
+        left = self.settings['lease_horizon'] - unproved
+        length = min(self.settings['lease'], left)
+        return station.lease.grant(now, length) if length > 0 else 0
+
+    def take_report(self, station: Station, report: Report) -> Noted:
+        """Bring the book in line with a report."""
+        life = station.worker.life
+        noted = self.book.take_report(life, report, self.clock.wall())
+        if noted.strays:
+            self.strays.setdefault(life, set()).update(noted.strays)
+        self.wake()
+        return noted
+
+    def take_strays(self) -> list[tuple[Station, RunId]]:
+        """Return the runs that nobody wants, and forget them."""
+        strays = [
+            (self.stations[life], run)
+            for life, runs in self.strays.items()
+            for run in runs
+            if life in self.stations
+        ]
+        self.strays.clear()
+        return strays
+
+    def end_life(self, station: Station, reason: str) -> None:
+        """Note that a worker is gone, with everything that ran there."""
+        if station.gone:
+            return
+        station.gone = True
+        station.want()
+        self._lose(station, reason)
+
+    def expire(self, station: Station) -> None:
+        """Note that every lease at a worker has run out."""
+        self._lose(station, 'leases ran out')
+
+    def fail(self, attempt: Attempt, reason: str) -> None:
+        """Note that an attempt never ran."""
+        self.log.info('%s did not start: %s.', attempt.run, reason)
+        self.book.remove(attempt)
+        self.wake()
+
+    async def check_tenure(self) -> None:
+        """Read the owner's row, and end the tenure if it is another's."""
+        asked_at = self.clock.now()
+        rows = await self.store.read([self.tenure.key])
+        if isinstance(rows, Unavailable):
+            await self.clock.sleep(RETRY_MS)
+            return
+        row = rows[0]
+        fields = typed(row, OwnerRow) if row.version else None
+        if self.tenure.follow(fields, row.version):
+            self.tenure.confirm(asked_at)
+
+    def _lose(self, station: Station, reason: str) -> None:
+        lost = self.book.lose(station.worker.life)
+        if lost:
+            self.log.warning(
+                '%s runs at %s are over: %s.',
+                len(lost),
+                station.worker.worker_id,
+                reason,
+            )
+            self.wake()
--- a/cyclamenshift/settings.py
+++ b/cyclamenshift/settings.py
@@ -24,10 +24,17 @@
 
 
 class EntrySettings(TypedDict):
-    """What this entry VM is called, and how it stops and logs."""
+    """
+    What this entry VM is called, and how it stops and logs.
+
+    ``work`` is the kind of work that it serves; ``size`` its processor
+    time, in thousandths of a core.
+    """
 
     id: Name
     data_centre: Name
+    work: Literal['requests', 'jobs']
+    size: Size
     grace: Millis
     log_level: Literal['debug', 'info', 'warning', 'error']
 
@@ -39,9 +46,16 @@
     port: Port
 
 
+class OperatorSettings(ListenSettings):
+    """The front end for operators."""
+
+    plugin: Name
+
+
 class CallerSettings(ListenSettings):
     """The front end for callers."""
 
+    plugin: Name
     body_limit: Size
     read_timeout: Millis
     default_timeout: Millis
@@ -70,6 +84,23 @@
     claim_retention: Millis
 
 
+class JobSettings(TypedDict):
+    """
+    How jobs are scheduled.
+
+    ``lease`` is how long a worker works on without hearing from its
+    scheduler.  ``lease_horizon`` bounds every lease from the last proof of
+    ownership.  ``keep_final`` is how long a final job can be asked for.
+    ``provider`` is the address of whoever provides the VMs.
+    """
+
+    plugin: Name
+    lease: Millis
+    lease_horizon: Millis
+    keep_final: Millis
+    provider: str
+
+
 class EndpointSettings(TypedDict):
     """The connections to the workers."""
 
@@ -82,10 +113,12 @@
 
     entry: EntrySettings
     callers: CallerSettings
-    operators: ListenSettings
+    readiness: ListenSettings
+    operators: OperatorSettings
     peers: PeerSettings
     store: StoreSettings
     endpoint: EndpointSettings
+    jobs: JobSettings
 
 
 #: The values in force where no file says otherwise.
@@ -93,10 +126,13 @@
     'entry': {
         'id': 'entry-1',
         'data_centre': 'local',
+        'work': 'requests',
+        'size': 1000,
         'grace': 30_000,
         'log_level': 'info',
     },
     'callers': {
+        'plugin': 'callers',
         'host': '127.0.0.1',
         'port': 8080,
         'body_limit': 1_048_576,
@@ -105,7 +141,12 @@
         'longest_timeout': 3_600_000,
         'leaving_notice': 1_000,
     },
-    'operators': {'host': '127.0.0.1', 'port': 8081},
+    'readiness': {'host': '127.0.0.1', 'port': 0},
+    'operators': {
+        'plugin': 'operators',
+        'host': '127.0.0.1',
+        'port': 8081,
+    },
     'peers': {
         'plugin': 'stream',
         'host': '127.0.0.1',
@@ -127,6 +168,13 @@
         'plugin': 'memory',
         'connect_timeout': 1_000,
     },
+    'jobs': {
+        'plugin': 'memory',
+        'lease': 4_000,
+        'lease_horizon': 9_000,
+        'keep_final': 120_000,
+        'provider': '',
+    },
 }
 
 
--- /dev/null
+++ b/cyclamenshift/sources/__init__.py
@@ -0,0 +1,6 @@
+"""
+cyclamenshift.sources
+=====================
+
+Where a process gets its settings from, found by name.
+"""
--- a/cyclamenshift/startup.py
+++ b/cyclamenshift/startup.py
@@ -7,16 +7,22 @@
 
 import pathlib
 import uuid
-from typing import Final
+from typing import Final, TypeVar
 
 from . import document, fleet, kernel, logs, plugin, settings
 from .component import Component
 from .control import Control
 from .controls.configuration import Configuration, InForce, Proposal
+from .directory import Directory
+from .duty import Duty
 from .endpoint import Endpoint
 from .frontend import Frontend
 from .peer import Peer
+from .provider import VmProvider
 from .store import Store
+from .worker import WorkerClient
+
+MemberType = TypeVar('MemberType', bound=Component)
 
 #: The folder below the settings that holds the first configuration.
 FLEET_FOLDER: Final = 'fleet'
@@ -47,12 +53,31 @@
     Raises PluginError for a name that no plug-in has.
     """
     kernel.load_families()
+    work = chosen['entry']['work']
     return [
         plugin.find(Store, chosen['store']['plugin']),
-        plugin.find(Endpoint, chosen['endpoint']['plugin']),
         plugin.find(Peer, chosen['peers']['plugin']),
-        *plugin.members(Control),
-        *plugin.members(Frontend),
+        *_choose_clients(chosen),
+        *members_for(Control, work),
+        *members_for(Duty, work),
+        plugin.find(Frontend, chosen['callers']['plugin']),
+        plugin.find(Frontend, chosen['operators']['plugin']),
+    ]
+
+
+def members_for(base: type[MemberType], work: str) -> list[type[MemberType]]:
+    """Return the members of the family of *base* that *work* needs."""
+    return [member for member in plugin.members(base) if work in member.works]
+
+
+def _choose_clients(chosen: settings.Settings) -> list[type[Component]]:
+    if chosen['entry']['work'] == 'requests':
+        return [plugin.find(Endpoint, chosen['endpoint']['plugin'])]
+    name = chosen['jobs']['plugin']
+    return [
+        plugin.find(WorkerClient, name),
+        plugin.find(Directory, name),
+        plugin.find(VmProvider, name),
     ]
 
 
--- a/cyclamenshift/store.py
+++ b/cyclamenshift/store.py
@@ -120,7 +120,7 @@
 
     @abc.abstractmethod
     async def read(self, keys: Sequence[Key]) -> list[Row] | Unavailable:
-        """Return one row for each key, at one moment, in that order."""
+        """Return one row for each key, in that order."""
 
     @abc.abstractmethod
     async def scan(self, table: str, part: str = '') -> Snapshot | Unavailable:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,6 +10,7 @@
 
 from cyclamenshift import settings
 from cyclamenshift.decisions.merging import Document
+from cyclamenshift.job import Job, Room, Step
 from cyclamenshift.model import EntryVm, Load, Request, Vm, VmState
 from cyclamenshift.rows import BudgetRow, ClaimRow, VmRow
 
@@ -80,6 +81,24 @@
     return request(**(values | changes))
 
 
+def step(**changes: Any) -> Step:
+    """Return a step of two small tasks."""
+    values: dict[str, Any] = {'tasks': 2, 'room': Room(1_000, 1_024)}
+    return Step(**(values | changes))
+
+
+def job(job_id: str = 'job-1', **changes: Any) -> Job:
+    """Return a job of one step, accepted when virtual time starts."""
+    values: dict[str, Any] = {
+        'job_id': job_id,
+        'queue': 'checks',
+        'spec': 'specification',
+        'steps': (step(),),
+        'accepted': WALL_START,
+    }
+    return Job(**(values | changes))
+
+
 def vm_row(**changes: Any) -> VmRow:
     """Return the row of a serving VM."""
     values: dict[str, Any] = {
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -22,7 +22,7 @@
     memory_stream_pair,
 )
 
-from cyclamenshift import kernel, plugin, startup
+from cyclamenshift import kernel, startup
 from cyclamenshift.clock import Clock
 from cyclamenshift.component import Component
 from cyclamenshift.control import Control
@@ -394,7 +394,7 @@
             BoundEndpoint,
             BoundPeer,
             BoundCallers,
-            *plugin.members(Control),
+            *startup.members_for(Control, 'requests'),
         ]
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,17 @@
 from trio.testing import MockClock
 
 from cyclamenshift.errors import ProtocolError
+from cyclamenshift.job import JobState
+from cyclamenshift.jobmessages import (
+    CountAnswer,
+    CountQuery,
+    Holding,
+    Holdings,
+    JobCancelled,
+    JobStored,
+    StateAnswer,
+    StateQuery,
+)
 from cyclamenshift.model import Done, NotRun, Outcome, Reason, Unknown
 from cyclamenshift.forwarding import (
     AnswerDone,
@@ -37,8 +48,8 @@
 )
 from cyclamenshift.peers.frames import TAGS, Decoder, encode
 
+from .builders import job, request
 from .builders import load as pool_load
-from .builders import request
 from .standins.fakes import Cluster, Entry
 
 #: The heartbeat of the default settings, ms.
@@ -51,6 +62,13 @@
     AnswerUnknown(Reason.answer_lost, 'remedy'),
     Loads((pool_load(), pool_load(pool='spare'))),
     Versions(3, 17),
+    Holdings((Holding('desk', 3),)),
+    JobStored('desk', job()),
+    JobCancelled('desk', 'job-1'),
+    StateQuery('desk', 'job-1'),
+    StateAnswer(True, 'checks', JobState.running),
+    CountQuery('desk', 'checks'),
+    CountAnswer(True, 7),
 )
 MESSAGES: tuple[Message, ...] = (
     Greeting(1, 'entry-1', 'first'),
