Manage the fleet: maintenance under its limit, lending on demand

Change: one manager of the fleet by an owner row. It proves its ownership before each order, waits out the lease of an earlier manager, records which VMs have begun. Schedulers report their pools and empty VMs: long-running tasks within their disruption limit, the rest as it ends or from checkpoints.

--- a/cyclamenshift/controls/desk.py
+++ b/cyclamenshift/controls/desk.py
@@ -8,12 +8,11 @@
 then; where that hint is lost the owner finds the row by itself.
 """
 
-from typing import ClassVar, Final, NamedTuple, TypeAlias, cast
+from typing import ClassVar, Final, NamedTuple, TypeAlias
 
 from ..component import Host
 from ..control import Control
 from ..directory import Directory, Queue
-from ..duties.scheduler import SchedulerDuty
 from ..job import Job, JobState
 from ..jobmessages import (
     CountAnswer,
@@ -33,7 +32,6 @@
     job_key,
     progress_key,
 )
-from ..peer import NoReply, Peer
 from ..plugin import register
 from ..rows import typed
 from ..store import ABSENT, Snapshot, Store, Unavailable
@@ -89,8 +87,6 @@
         self.ledger = kernel.get(Ledger)
         self.directory = kernel.get(Directory)
         self.ownership = kernel.get(Ownership)
-        self.scheduler = kernel.get(SchedulerDuty)
-        self.peer = kernel.get(Peer)
 
     async def submit(self, queue: Queue, job: Job, wait: int) -> SubmitResult:
         """Store *job*, within *wait* ms, and tell the owner of its service."""
@@ -105,7 +101,7 @@
         if isinstance(result, Rival):
             present = typed(result.row, JobRow)['job']
             return Stored() if present.same_as(job) else Different()
-        self._tell(JobStored(queue.service, job))
+        self.ownership.tell_owner(queue.service, JobStored(queue.service, job))
         return Stored()
 
     async def state_of(
@@ -115,11 +111,14 @@
     ) -> JobState | NoSuchJob | Unavailable:
         """Return how a job stands, from its owner or from the store."""
         query = StateQuery(queue.service, job_id)
-        answer = await self._ask_state(query)
-        if answer.owned and answer.state:
-            if answer.queue == queue.name:
-                return answer.state
-            return NoSuchJob()
+        answer = await self.ownership.ask_owner(
+            queue.service,
+            query,
+            OWNER_WAIT_MS,
+        )
+        if isinstance(answer, StateAnswer) and answer.state:
+            same = answer.queue == queue.name
+            return answer.state if same else NoSuchJob()
         return await self._read_state(queue, job_id)
 
     async def cancel(
@@ -141,49 +140,22 @@
             result = await self.ledger.write(key, ABSENT, row)
         if result is None or isinstance(result, NotWritten):
             return Unavailable('The cancel could not be stored.')
-        self._tell(JobCancelled(queue.service, job_id))
+        told = JobCancelled(queue.service, job_id)
+        self.ownership.tell_owner(queue.service, told)
         return Stored()
 
     async def waiting(self, queue: Queue) -> int | Unavailable:
         """Return how many jobs of *queue* have not begun."""
         query = CountQuery(queue.service, queue.name)
-        owner = self.ownership.owner_of(queue.service)
-        if owner == self.ownership.membership.own.entry_id:
-            answer = self.scheduler.count(query)
-        elif owner:
-            reply = await self.peer.ask(owner, query, OWNER_WAIT_MS)
-            answer = cast(CountAnswer, reply)
-            if isinstance(reply, NoReply):
-                answer = CountAnswer(owned=False, waiting=0)
-        else:
-            answer = CountAnswer(owned=False, waiting=0)
-        if answer.owned:
+        answer = await self.ownership.ask_owner(
+            queue.service,
+            query,
+            OWNER_WAIT_MS,
+        )
+        if isinstance(answer, CountAnswer) and answer.owned:
             return answer.waiting
         return await self._read_waiting(queue)
 
-    def _tell(self, told: JobStored | JobCancelled) -> None:
-        owner = self.ownership.owner_of(told.service)
-        if owner == self.ownership.membership.own.entry_id:
-            self._take(told)
-        elif owner:
-            self.peer.tell(owner, told)
-
-    def _take(self, told: JobStored | JobCancelled) -> None:
-        if isinstance(told, JobStored):
-            self.scheduler.take(told)
-        else:
-            self.scheduler.cancel(told)
-
-    async def _ask_state(self, query: StateQuery) -> StateAnswer:
-        owner = self.ownership.owner_of(query.service)
-        if owner == self.ownership.membership.own.entry_id:
-            return self.scheduler.state_of(query)
-        if owner:
-            reply = await self.peer.ask(owner, query, OWNER_WAIT_MS)
-            if not isinstance(reply, NoReply):
-                return cast(StateAnswer, reply)
-        return StateAnswer(owned=False, queue='', state=None)
-
     async def _read_state(
         self,
         queue: Queue,
--- a/cyclamenshift/controls/ownership.py
+++ b/cyclamenshift/controls/ownership.py
@@ -21,7 +21,7 @@
 from ..duty import Duty, Tenure
 from ..jobmessages import Holding, Holdings
 from ..jobrows import OwnerRow, owner_key
-from ..peer import Body, Peer, Reporter
+from ..peer import Body, NoReply, Peer, Reporter
 from ..plugin import register
 from ..rows import typed
 from ..store import (
@@ -49,6 +49,9 @@
 #: How long a live holder that does not tell of its domain is waited for, ms.
 SILENT_HOLDER_MS = 1_500
 
+#: Nobody owns the domain, as far as is known here.
+NO_OWNER = NoReply(sent=False, reason='no owner')
+
 
 @register
 class Ownership(Control):
@@ -88,6 +91,23 @@
         ]
         return max(owners)[1] if owners else None
 
+    async def ask_owner(
+        self,
+        domain: str,
+        question: Body,
+        timeout: int,
+    ) -> Body | NoReply:
+        """Return the answer of the owner of *domain*, here or at a peer."""
+        owner = self.owner_of(domain)
+        if owner is None:
+            return NO_OWNER
+        return await self.peer.ask(owner, question, timeout)
+
+    def tell_owner(self, domain: str, told: Body) -> bool:
+        """Tell the owner of *domain*; return whether it could be told."""
+        owner = self.owner_of(domain)
+        return owner is not None and self.peer.tell(owner, told)
+
     async def run(
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
--- /dev/null
+++ b/cyclamenshift/decisions/lending.py
@@ -0,0 +1,153 @@
+"""
+cyclamenshift.decisions.lending
+===============================
+
+How many VMs each pool should have, and which of them should move.
+"""
+
+from collections.abc import Mapping, Sequence
+from typing import Final, NamedTuple
+
+from ..job import NOTHING, Room
+from ..provider import ProvidedVm, VmPhase
+
+#: How full the VMs of a pool may be planned, per cent; tasks don't pack
+#: without gaps.
+FILL_PERCENT: Final = 80
+PERCENT: Final = 100
+#: How many VMs beyond the present need a pool keeps.
+BUFFER: Final = 1
+#: How long a pool must have had too many VMs before it gives one back, ms.
+GIVE_BACK_MS: Final = 3_000
+
+
+class PoolView(NamedTuple):
+    """
+    A pool as the manager of the fleet sees it.
+
+    ``used`` and ``waiting`` are what its tasks have and want; ``empty``
+    names the VMs that run nothing.
+    """
+
+    service: str
+    spare: bool
+    vms: tuple[ProvidedVm, ...]
+    used: Room
+    waiting: Room
+    empty: frozenset[str]
+
+
+class MoveWish(NamedTuple):
+    """A VM that should move to another pool."""
+
+    vm_id: str
+    pool: str
+
+
+def needed(pool: PoolView) -> int:
+    """Return how many VMs the tasks of *pool* need, with the buffer."""
+    if not pool.vms:
+        return BUFFER
+    room = pool.vms[0].room
+    wanted = pool.used.plus(pool.waiting)
+    counts = (
+        -(-part * PERCENT // (size * FILL_PERCENT))
+        for part, size in zip(wanted, room, strict=True)
+        if size
+    )
+    return max(counts) + BUFFER
+
+
+class Lender:
+    """Remembers since when each pool has had more VMs than it needs."""
+
+    def __init__(self) -> None:
+        """Have seen nothing yet."""
+        self.surplus_since: dict[str, int] = {}
+
+    def wishes(
+        self,
+        pools: Mapping[str, PoolView],
+        now: int,
+    ) -> list[MoveWish]:
+        """Return the moves that the present demand asks for."""
+        needs = {
+            name: needed(pool) for name, pool in pools.items() if not pool.spare
+        }
+        surplus = self._surplus(pools, needs, now)
+        supply = _supply(pools, surplus)
+        wishes = []
+        for name, need in sorted(needs.items()):
+            short = need - len(pools[name].vms)
+            for vm_id in supply[: max(0, short)]:
+                wishes.append(MoveWish(vm_id, name))
+            supply = supply[max(0, short) :]
+        return wishes + _give_back(pools, surplus, wishes)
+
+    def _surplus(
+        self,
+        pools: Mapping[str, PoolView],
+        needs: Mapping[str, int],
+        now: int,
+    ) -> dict[str, list[str]]:
+        """Return the VMs that each pool can do without."""
+        surplus = {}
+        for name, need in needs.items():
+            beyond = len(pools[name].vms) - need
+            if beyond <= 0:
+                self.surplus_since.pop(name, None)
+                continue
+            since = self.surplus_since.setdefault(name, now)
+            if now - since >= GIVE_BACK_MS:
+                surplus[name] = _empty_vms(pools[name])[:beyond]
+        return surplus
+
+
+def _empty_vms(pool: PoolView) -> list[str]:
+    return [
+        vm.vm_id
+        for vm in pool.vms
+        if vm.phase is VmPhase.up and vm.vm_id in pool.empty
+    ]
+
+
+def _supply(
+    pools: Mapping[str, PoolView],
+    surplus: Mapping[str, Sequence[str]],
+) -> list[str]:
+    """Return the VMs that may be lent, those of spare pools first."""
+    supply = [
+        vm.vm_id
+        for pool in pools.values()
+        if pool.spare
+        for vm in pool.vms
+        if vm.phase is VmPhase.up
+    ]
+    for vm_ids in surplus.values():
+        supply.extend(vm_ids)
+    return supply
+
+
+def _give_back(
+    pools: Mapping[str, PoolView],
+    surplus: Mapping[str, Sequence[str]],
+    wishes: Sequence[MoveWish],
+) -> list[MoveWish]:
+    spares = [name for name, pool in pools.items() if pool.spare]
+    if not spares:
+        return []
+    lent = {wish.vm_id for wish in wishes}
+    return [
+        MoveWish(vm_id, spares[0])
+        for vm_ids in surplus.values()
+        for vm_id in vm_ids
+        if vm_id not in lent
+    ]
+
+
+def total(rooms: Sequence[Room]) -> Room:
+    """Return the sum of *rooms*."""
+    summed = NOTHING
+    for room in rooms:
+        summed = summed.plus(room)
+    return summed
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -43,7 +43,8 @@
         """
         Start planned at *now*, monotonic ms.
 
-        ``seen_clock`` is the worker's time when it was last known there.
+        ``seen_clock`` is the worker's time when it was last known there;
+        ``evicted`` tells whether it is being stopped to start elsewhere.
         """
         self.task = task
         self.number = number
@@ -51,6 +52,7 @@
         self.phase = Phase.planned
         self.since = now
         self.seen_clock = 0
+        self.evicted = False
         self.percent = 0
         self.usage = 0
 
--- a/cyclamenshift/duties/scheduler.py
+++ b/cyclamenshift/duties/scheduler.py
@@ -8,8 +8,10 @@
 from collections.abc import Iterable
 
 from ..component import Dump, Host
+from ..controls.ownership import Ownership
 from ..directory import Catalog, Directory
 from ..duty import Duty, Tenure
+from ..fleetmessages import PoolReport, Vacate, Vacated
 from ..jobmessages import (
     CountAnswer,
     CountQuery,
@@ -21,6 +23,7 @@
 from ..peer import Peer
 from ..plugin import register
 from ..scheduling.service import ServiceScheduler
+from .fleet import FLEET
 
 NOT_OWNED = StateAnswer(owned=False, queue='', state=None)
 
@@ -41,6 +44,7 @@
         peer.listen_to(JobCancelled, self._take_cancelled)
         peer.answer(StateQuery, self._answer_state)
         peer.answer(CountQuery, self._answer_count)
+        peer.answer(Vacate, self._answer_vacate)
 
     def domains(self, catalog: Catalog) -> Iterable[str]:
         """Return the services that any queue names."""
@@ -48,7 +52,11 @@
 
     async def serve(self, tenure: Tenure) -> None:
         """Schedule a service until cancelled."""
-        scheduler = ServiceScheduler(self.kernel, tenure)
+        scheduler = ServiceScheduler(
+            self.kernel,
+            tenure,
+            self._tell_manager,
+        )
         self.schedulers[tenure.domain] = scheduler
         self.directory.watch(tenure.domain, wanted=True)
         try:
@@ -57,32 +65,6 @@
             self.schedulers.pop(tenure.domain)
             self.directory.watch(tenure.domain, wanted=False)
 
-    def take(self, told: JobStored) -> None:
-        """Take a job of a service that is owned here."""
-        scheduler = self.schedulers.get(told.service)
-        if scheduler and scheduler.loaded:
-            scheduler.add(told.job)
-
-    def cancel(self, told: JobCancelled) -> None:
-        """Take a cancel for a service that is owned here."""
-        scheduler = self.schedulers.get(told.service)
-        if scheduler and scheduler.loaded:
-            scheduler.cancel(told.job_id)
-
-    def state_of(self, query: StateQuery) -> StateAnswer:
-        """Return how a job stands, if its service is owned here."""
-        scheduler = self.schedulers.get(query.service)
-        if scheduler is None or not scheduler.loaded:
-            return NOT_OWNED
-        return StateAnswer(True, *scheduler.state_of(query.job_id))
-
-    def count(self, query: CountQuery) -> CountAnswer:
-        """Return how many jobs wait, if their service is owned here."""
-        scheduler = self.schedulers.get(query.service)
-        if scheduler is None or not scheduler.loaded:
-            return CountAnswer(owned=False, waiting=0)
-        return CountAnswer(True, scheduler.waiting(query.queue))
-
     def dump(self) -> Dump:
         """Return each scheduler in short."""
         return {
@@ -91,21 +73,46 @@
         }
 
     def _take_stored(self, entry_id: str, told: JobStored) -> None:
-        self.take(told)
+        scheduler = self._loaded(told.service)
+        if scheduler:
+            scheduler.rows.add(told.job)
 
     def _take_cancelled(self, entry_id: str, told: JobCancelled) -> None:
-        self.cancel(told)
+        scheduler = self._loaded(told.service)
+        if scheduler:
+            scheduler.rows.cancel(told.job_id)
 
     async def _answer_state(
         self,
         entry_id: str,
         query: StateQuery,
     ) -> StateAnswer:
-        return self.state_of(query)
+        scheduler = self._loaded(query.service)
+        if scheduler is None:
+            return NOT_OWNED
+        return StateAnswer(True, *scheduler.state_of(query.job_id))
 
     async def _answer_count(
         self,
         entry_id: str,
         query: CountQuery,
     ) -> CountAnswer:
-        return self.count(query)
+        scheduler = self._loaded(query.service)
+        if scheduler is None:
+            return CountAnswer(owned=False, waiting=0)
+        return CountAnswer(True, scheduler.waiting(query.queue))
+
+    async def _answer_vacate(self, entry_id: str, request: Vacate) -> Vacated:
+        scheduler = self._loaded(request.service)
+        if scheduler is None:
+            return Vacated(empty=False)
+        empty = await scheduler.vacate(request.vm_id, request.wait)
+        return Vacated(empty)
+
+    def _tell_manager(self, report: PoolReport) -> None:
+        self.kernel.get(Ownership).tell_owner(FLEET, report)
+
+    def _loaded(self, service: str) -> ServiceScheduler | None:
+        """Return the scheduler of a service, once it has read its rows."""
+        scheduler = self.schedulers.get(service)
+        return scheduler if scheduler and scheduler.loaded else None
--- /dev/null
+++ b/cyclamenshift/fleetmessages.py
@@ -0,0 +1,50 @@
+"""
+cyclamenshift.fleetmessages
+===========================
+
+The bodies between the schedulers of services and the manager of the fleet.
+"""
+
+from typing import NamedTuple
+
+from .job import Room
+from .peer import body
+
+
+class VmLoad(NamedTuple):
+    """
+    What runs on one VM of a pool.
+
+    ``runs`` counts everything; ``long_runs`` what lasts until it is moved.
+    """
+
+    vm_id: str
+    used: Room
+    runs: int
+    long_runs: int
+
+
+@body
+class PoolReport(NamedTuple):
+    """What a service's pool does, and what its waiting tasks ask for."""
+
+    service: str
+    epoch: int
+    vms: tuple[VmLoad, ...]
+    waiting: Room
+
+
+@body
+class Vacate(NamedTuple):
+    """Let a VM become empty, within ``wait`` ms, and start nothing on it."""
+
+    service: str
+    vm_id: str
+    wait: int
+
+
+@body
+class Vacated(NamedTuple):
+    """Whether the VM is empty now; if so it stays so for a while."""
+
+    empty: bool
--- a/cyclamenshift/jobrows.py
+++ b/cyclamenshift/jobrows.py
@@ -19,6 +19,8 @@
 JOB_TABLE: Final = 'job'
 #: How far each job is; written by the owner only.
 PROGRESS_TABLE: Final = 'progress'
+#: How far each maintenance is; written by the manager of the fleet only.
+MAINTENANCE_TABLE: Final = 'maintenance'
 #: The jobs that callers cancelled.
 CANCEL_TABLE: Final = 'cancel'
 
@@ -88,6 +90,12 @@
     asked: int
 
 
+class MaintenanceRow(TypedDict):
+    """``maintenance/fleet/N``: the VMs that have begun their maintenance."""
+
+    done: list[str]
+
+
 def owner_key(domain: str) -> Key:
     """Return the key of the row of a domain's owner."""
     return Key(OWNER_TABLE, 'holder', domain)
@@ -106,3 +114,8 @@
 def cancel_key(service: str, job_id: str) -> Key:
     """Return the key of the row of a cancelled job."""
     return Key(CANCEL_TABLE, job_id, service)
+
+
+def maintenance_key(domain: str, number: int) -> Key:
+    """Return the key of the row of a maintenance."""
+    return Key(MAINTENANCE_TABLE, str(number), domain)
--- /dev/null
+++ b/cyclamenshift/managing/log.py
@@ -0,0 +1,74 @@
+"""
+cyclamenshift.managing.log
+==========================
+
+Which VMs have begun their maintenance, kept in the store.
+"""
+
+from typing import Final
+
+from ..clock import Clock
+from ..duty import Tenure
+from ..jobrows import MAINTENANCE_TABLE, MaintenanceRow, maintenance_key
+from ..rows import typed
+from ..store import (
+    ABSENT,
+    Check,
+    Committed,
+    Conflict,
+    Store,
+    Transaction,
+    Unavailable,
+    Write,
+)
+
+#: The wait before a call of the store that failed is tried again, ms.
+RETRY_MS: Final = 100
+
+
+class MaintenanceLog:
+    """One row for each maintenance, written by the manager of the fleet."""
+
+    def __init__(self, clock: Clock, store: Store, tenure: Tenure) -> None:
+        """Start with nothing read."""
+        self.clock = clock
+        self.store = store
+        self.tenure = tenure
+        self.begun: dict[int, set[str]] = {}
+        self.versions: dict[int, int] = {}
+
+    def of(self, number: int) -> set[str]:
+        """Return the VMs that have begun a maintenance."""
+        return self.begun.setdefault(number, set())
+
+    async def load(self) -> None:
+        """Read the rows; try until the store gives them."""
+        rows = await self.store.scan(MAINTENANCE_TABLE, self.tenure.domain)
+        while isinstance(rows, Unavailable):
+            await self.clock.sleep(RETRY_MS)
+            rows = await self.store.scan(MAINTENANCE_TABLE, self.tenure.domain)
+        for row in rows.rows:
+            number = int(row.key.name)
+            self.begun[number] = set(typed(row, MaintenanceRow)['done'])
+            self.versions[number] = row.version
+
+    async def record(self, number: int, vm_id: str) -> None:
+        """Record that a VM has begun a maintenance."""
+        self.of(number).add(vm_id)
+        key = maintenance_key(self.tenure.domain, number)
+        while not self.tenure.lost:
+            version = self.versions.get(number, ABSENT)
+            row = MaintenanceRow(done=sorted(self.of(number)))
+            result = await self.store.commit(
+                Transaction(
+                    (self.tenure.check(), Check(key, version)),
+                    (Write(key, row),),
+                ),
+            )
+            if isinstance(result, Committed):
+                self.versions[number] = result.version
+                return
+            if isinstance(result, Conflict) and self.tenure.stands(result):
+                self.versions[number] = result.versions()[key]
+            else:
+                await self.clock.sleep(RETRY_MS)
--- /dev/null
+++ b/cyclamenshift/managing/orders.py
@@ -0,0 +1,122 @@
+"""
+cyclamenshift.managing.orders
+=============================
+
+Moves or maintains one VM: empties it first, then orders it, straight down.
+"""
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Final, TypeAlias
+
+from ..directory import Maintenance
+from ..provider import (
+    ProvidedVm,
+    VmAccepted,
+    VmRefusal,
+    VmRefused,
+    VmResult,
+)
+from .state import FleetState
+
+#: How long a VM may take to become empty, ms.
+VACATE_MS: Final = 4_000
+#: The wait before an order that got no answer is given again, ms.
+RETRY_MS: Final = 200
+
+#: The refusals after which the same order is not given again.
+FINAL: Final = frozenset(VmRefusal) - {VmRefusal.over_rate}
+
+#: Empties a VM of a pool; returns whether it is empty.
+Vacater: TypeAlias = Callable[[str, str, int], Awaitable[bool]]
+
+
+async def move(
+    state: FleetState,
+    vacate: Vacater,
+    vm_id: str,
+    pool: str,
+) -> None:
+    """Move a VM to another pool, if it can be emptied."""
+    vm = state.vms[vm_id]
+    state.busy[vm_id] = pool
+    try:
+        if await vacate(vm.pool, vm_id, VACATE_MS):
+            await _move(state, vm, pool)
+    finally:
+        state.busy.pop(vm_id, None)
+        state.wake()
+
+
+async def _move(state: FleetState, vm: ProvidedVm, pool: str) -> None:
+    order = partial(state.provider.move, vm.vm_id, pool, state.authority)
+    result = await _order(state, order)
+    if isinstance(result, VmAccepted):
+        state.log.info('%s moves from %s to %s.', vm.vm_id, vm.pool, pool)
+        state.vms[vm.vm_id] = vm._replace(pool=pool)
+    elif result is not None:
+        state.log.warning('%s does not move: %s.', vm.vm_id, result.reason)
+        if result.reason is VmRefusal.impossible:
+            state.impossible.add((vm.vm_id, pool))
+
+
+async def maintain(
+    state: FleetState,
+    vacate: Vacater,
+    vm_id: str,
+    maintenance: Maintenance,
+) -> None:
+    """Take a VM down for a maintenance, if it can be emptied."""
+    vm = state.vms[vm_id]
+    state.busy[vm_id] = vm.pool
+    state.down[vm_id] = state.clock.now()
+    taken = False
+    try:
+        if await vacate(vm.pool, vm_id, VACATE_MS):
+            taken = await _maintain(state, vm_id, maintenance)
+    finally:
+        if not taken:
+            state.down.pop(vm_id, None)
+        state.busy.pop(vm_id, None)
+        state.wake()
+
+
+async def _maintain(
+    state: FleetState,
+    vm_id: str,
+    maintenance: Maintenance,
+) -> bool:
+    number = maintenance.number
+    order = partial(
+        state.provider.maintain,
+        vm_id,
+        number,
+        state.authority,
+    )
+    result = await _order(state, order)
+    if not isinstance(result, VmAccepted):
+        state.log.warning('%s is not maintained: %s.', vm_id, result)
+        return False
+    state.log.info('%s is down for maintenance %s.', vm_id, number)
+    state.down[vm_id] = state.clock.now()
+    await state.done.record(number, vm_id)
+    return True
+
+
+async def _order(
+    state: FleetState,
+    order: Callable[[], Awaitable[VmResult]],
+) -> VmAccepted | VmRefused | None:
+    """
+    Give an order until it is answered; None once the fleet is another's.
+
+    An order that was carried out before is accepted again.
+    """
+    while await state.prove():
+        result = await order()
+        if isinstance(result, VmAccepted):
+            return result
+        if isinstance(result, VmRefused) and result.reason in FINAL:
+            return result
+        await state.clock.sleep(RETRY_MS)
+    return None
--- /dev/null
+++ b/cyclamenshift/managing/state.py
@@ -0,0 +1,130 @@
+"""
+cyclamenshift.managing.state
+============================
+
+What the tasks of the manager of the fleet share.
+"""
+
+from typing import Final
+
+import trio
+
+from ..component import Host
+from ..decisions.lending import PoolView, total
+from ..decisions.maintenance import Standing
+from ..directory import Directory, Maintenance
+from ..duty import Tenure
+from ..fleetmessages import PoolReport
+from ..job import NOTHING
+from ..jobrows import OwnerRow
+from ..logs import get_logger
+from ..provider import Authority, ProvidedVm, VmPhase, VmProvider
+from ..rows import typed
+from ..store import Row, Store, Unavailable
+from .log import MaintenanceLog
+
+#: The wait before a call of the store that failed is tried again, ms.
+RETRY_MS: Final = 100
+#: How old the proof of ownership may be when an order goes out, ms.
+PROOF_MS: Final = 300
+
+
+class FleetState:
+    """The VMs, what their pools report, and what is being done with them."""
+
+    def __init__(self, kernel: Host, tenure: Tenure) -> None:
+        """Start empty, under *tenure*."""
+        self.clock = kernel.clock
+        self.tenure = tenure
+        self.log = get_logger('fleet')
+        self.store = kernel.get(Store)
+        self.provider = kernel.get(VmProvider)
+        self.directory = kernel.get(Directory)
+        holder = kernel.settings['entry']['id']
+        self.authority = Authority(holder, tenure.epoch)
+        self.vms: dict[str, ProvidedVm] = {}
+        self.reports: dict[str, PoolReport] = {}
+        self.busy: dict[str, str] = {}
+        self.done = MaintenanceLog(self.clock, self.store, tenure)
+        self.down: dict[str, int] = {}
+        self.impossible: set[tuple[str, str]] = set()
+        self.changed = trio.Event()
+
+    def wake(self) -> None:
+        """Let the manager decide again."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def take_list(self, vms: list[ProvidedVm], asked_at: int) -> None:
+        """Take the list of VMs that was asked for at *asked_at*."""
+        self.vms = {vm.vm_id: vm for vm in vms}
+        for vm_id, ordered_at in tuple(self.down.items()):
+            vm = self.vms.get(vm_id)
+            back = vm is None or vm.phase is VmPhase.up
+            if back and asked_at > ordered_at:
+                self.down.pop(vm_id)
+        self.wake()
+
+    def runs(self) -> dict[str, int]:
+        """Return how much runs on each VM that a pool reports."""
+        return {
+            load.vm_id: load.runs
+            for report in self.reports.values()
+            for load in report.vms
+        }
+
+    def pools(self) -> dict[str, PoolView]:
+        """Return each pool, with what its scheduler told last."""
+        catalog = self.directory.catalog
+        services = catalog.services if catalog else {}
+        return {
+            name: self._pool(name, spare=service.spare)
+            for name, service in services.items()
+        }
+
+    def standing(self, maintenance: Maintenance) -> Standing:
+        """Return how a maintenance stands."""
+        done = self.done.of(maintenance.number)
+        down = [vm_id for vm_id in self.down if vm_id in maintenance.vm_ids]
+        return Standing(maintenance, done, down)
+
+    async def prove(self) -> bool:
+        """Return whether this entry VM certainly owned the fleet just now."""
+        while not self.tenure.lost:
+            asked_at = self.clock.now()
+            rows = await self.store.read([self.tenure.key])
+            if isinstance(rows, Unavailable):
+                await self.clock.sleep(RETRY_MS)
+            elif self._is_proof(rows[0], asked_at):
+                break
+        return not self.tenure.lost
+
+    def _is_proof(self, row: Row, asked_at: int) -> bool:
+        """Return whether *row* is fresh enough to order on, or another's."""
+        fields = typed(row, OwnerRow) if row.version else None
+        if not self.tenure.follow(fields, row.version):
+            return True
+        self.tenure.confirm(asked_at)
+        return self.clock.now() - asked_at <= PROOF_MS
+
+    def _pool(self, name: str, *, spare: bool) -> PoolView:
+        report = self.reports.get(name, no_report(name))
+        running = {load.vm_id for load in report.vms if load.runs}
+        vms = [vm for vm in self.vms.values() if self._pool_of(vm) == name]
+        return PoolView(
+            service=name,
+            spare=spare,
+            vms=tuple(vms),
+            used=total([load.used for load in report.vms]),
+            waiting=report.waiting,
+            empty=frozenset(vm.vm_id for vm in vms) - running,
+        )
+
+    def _pool_of(self, vm: ProvidedVm) -> str:
+        """Return the pool of a VM, or the one that it is being moved to."""
+        return self.busy.get(vm.vm_id) or vm.pool
+
+
+def no_report(service: str) -> PoolReport:
+    """Return what counts where a scheduler has not reported."""
+    return PoolReport(service, epoch=0, vms=(), waiting=NOTHING)
--- a/cyclamenshift/peer.py
+++ b/cyclamenshift/peer.py
@@ -129,11 +129,15 @@
         question: Body,
         timeout: int,
     ) -> Body | NoReply:
-        """Return a peer's answer to *question*, waiting *timeout* ms."""
+        """
+        Return a peer's answer to *question*, waiting *timeout* ms.
+
+        This entry VM itself may be asked too.
+        """
 
     @abc.abstractmethod
     def tell(self, entry_id: str, told: Body) -> bool:
-        """Send *told*; return whether there is a connection for it."""
+        """Send *told*, to itself too; return whether that was possible."""
 
     @abc.abstractmethod
     def answer(self, shape: type[Body], answerer: Answerer) -> None:
--- a/cyclamenshift/peers/stream.py
+++ b/cyclamenshift/peers/stream.py
@@ -23,7 +23,7 @@
 from ..plugin import register
 from .connection import LOST
 from .exchange import Exchange
-from .link import NOT_CONNECTED, Link
+from .link import NOT_CONNECTED, SILENT, Link
 from .service import Service
 
 
@@ -118,11 +118,16 @@
         timeout: int,
     ) -> Body | NoReply:
         """Return a peer's answer to *question*, waiting *timeout* ms."""
+        if entry_id == self.membership.own.entry_id:
+            return await self._ask_self(question, timeout)
         link = self.links.get(entry_id)
         return await link.ask(question, timeout) if link else NOT_CONNECTED
 
     def tell(self, entry_id: str, told: Body) -> bool:
-        """Send *told*; return whether there is a connection for it."""
+        """Send *told*, to itself too; return whether that was possible."""
+        if entry_id == self.membership.own.entry_id:
+            self.exchange.take(entry_id, told)
+            return True
         link = self.links.get(entry_id)
         return link.tell(told) if link else False
 
@@ -164,6 +169,17 @@
         }
         return {'bytes_sent': self.exchange.meter.bytes_sent, 'peers': peers}
 
+    async def _ask_self(
+        self,
+        question: Body,
+        timeout: int,
+    ) -> Body | NoReply:
+        answerer = self.exchange.answerer(question)
+        answer: Body | NoReply = SILENT
+        with self.clock.move_on_after(timeout):
+            answer = await answerer(self.membership.own.entry_id, question)
+        return answer
+
     async def _follow_members(self, nursery: trio.Nursery) -> None:
         links: dict[EntryVm, Link] = {}
         while True:
--- a/cyclamenshift/platform/settings.py
+++ b/cyclamenshift/platform/settings.py
@@ -26,6 +26,8 @@
 #: How much longer than the longest lease tasks may work on while nobody
 #: reaches the store, ms.
 HORIZON_MARGIN_MS: Final = 3_000
+#: The same for the manager of the fleet, where the file does not say, ms.
+MANAGER_LEASE_MS: Final = 3_000
 #: The name of the adapter's plug-ins.
 NAME: Final = 'platform'
 
@@ -52,6 +54,8 @@
         'maxHoldMs': NotRequired[int],
         # How long the state of a job can be asked for.
         'status_s': NotRequired[float],
+        # For how long nobody else may order after a manager of the fleet.
+        'leaseMs': NotRequired[int],
     },
 )
 #: The address of one of the platform's services.
@@ -124,6 +128,7 @@
             'lease': min(LEASE_MS, longest),
             'lease_horizon': longest + HORIZON_MARGIN_MS,
             'keep_final': round(bounds.get('status_s', 0) * SECOND_MS) or 1,
+            'manager_lease': bounds.get('leaseMs', MANAGER_LEASE_MS),
             'provider': body['cloud']['address'],
         },
     }
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -5,31 +5,25 @@
 Schedules the jobs of one service while this entry VM owns it.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable
 from typing import Final
 
 import trio
 
 from ..component import Dump, Host
 from ..decisions.placement import Bench, place
-from ..decisions.progress import JobProgress, Life, Phase, Task
-from ..directory import Directory, Queue
+from ..decisions.progress import Life, Phase, Task
+from ..directory import Directory
 from ..duty import Tenure
-from ..errors import ProtocolError
-from ..job import NOTHING, Job, JobState
-from ..jobrows import (
-    CANCEL_TABLE,
-    JOB_TABLE,
-    PROGRESS_TABLE,
-    JobRow,
-    ProgressRow,
-)
-from ..rows import typed
-from ..store import ABSENT, HistoryLost, Row, Snapshot, Unavailable
+from ..fleetmessages import PoolReport
+from ..job import NOTHING, JobState
 from .keeper import Keeper
 from .orders import StartTask, stop, stop_stray
-from .state import RETRY_MS, ServiceState
+from .reporting import report_pool
+from .state import ServiceState
+from .rows import Rows
 from .station import Station
+from .vacating import evict, vacate
 
 #: How often the rows are looked at for jobs whose hint was lost, ms.
 POLL_MS: Final = 1_000
@@ -40,46 +34,39 @@
 class ServiceScheduler:
     """The tasks that schedule one service, under one tenure."""
 
-    def __init__(self, kernel: Host, tenure: Tenure) -> None:
+    def __init__(
+        self,
+        kernel: Host,
+        tenure: Tenure,
+        tell_manager: Callable[[PoolReport], None],
+    ) -> None:
         """Start with nothing read."""
         self.state = ServiceState(kernel, tenure)
+        self.tell_manager = tell_manager
         self.book = self.state.book
         self.clock = kernel.clock
         self.directory = kernel.get(Directory)
-        self.version = ABSENT
+        self.rows = Rows(self.state, self.directory)
         self.loaded = False
-        self.stopping: set[object] = set()
 
     async def run(self) -> None:
         """Read the rows, then schedule until cancelled."""
-        await self._load()
+        await self.rows.load()
         self.loaded = True
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.state.recorder.run)
             nursery.start_soon(self._follow_workers, nursery)
-            nursery.start_soon(self._poll_jobs)
+            nursery.start_soon(self.rows.poll)
+            nursery.start_soon(report_pool, self.state, self.tell_manager)
             while True:
                 changed = self.state.changed
                 self._open_due()
+                self._evacuate(nursery)
                 self._place(nursery)
                 self._stop_surplus(nursery)
                 with self.clock.move_on_after(self._until_due()):
                     await changed.wait()
 
-    def add(self, job: Job) -> None:
-        """Take a job that was stored."""
-        queue = self._queue(job.queue)
-        if queue is None:
-            return
-        if self.book.add(job, queue, self.clock.wall()):
-            self.state.wake()
-
-    def cancel(self, job_id: str) -> None:
-        """Take a cancel that was stored."""
-        if self.book.cancel(job_id, self.clock.wall()):
-            self.state.recorder.want()
-            self.state.wake()
-
     def state_of(self, job_id: str) -> tuple[str, JobState | None]:
         """Return the queue of a job and its recorded state, None if unknown."""
         progress = self.book.jobs.get(job_id)
@@ -97,6 +84,10 @@
             and not progress.state.final
         )
 
+    async def vacate(self, vm_id: str, wait: int) -> bool:
+        """Let a VM become empty within *wait* ms; return whether it is."""
+        return await vacate(self.state, vm_id, wait)
+
     def dump(self) -> Dump:
         """Return the jobs and workers in short."""
         return {
@@ -114,82 +105,6 @@
             },
         }
 
-    async def _load(self) -> None:
-        """Read every row of the service; try until the store gives them."""
-        while True:
-            try:
-                if await self._read():
-                    return
-            except ProtocolError as error:
-                self.state.log.error('%s', error)
-            await self.clock.sleep(RETRY_MS)
-
-    async def _read(self) -> bool:
-        service = self.state.service
-        store = self.state.store
-        asked_at = self.clock.now()
-        jobs = await store.scan(JOB_TABLE, service)
-        progress = await store.scan(PROGRESS_TABLE, service)
-        cancels = await store.scan(CANCEL_TABLE, service)
-        if (
-            isinstance(jobs, Unavailable)
-            or isinstance(progress, Unavailable)
-            or isinstance(cancels, Unavailable)
-        ):
-            return False
-        self.state.tenure.confirm(asked_at)
-        self.version = jobs.version
-        recorded = {row.key.name: row for row in progress.rows}
-        for row in jobs.rows:
-            self._restore(row, recorded.get(row.key.name))
-        for cancelled in cancels.rows:
-            self.cancel(cancelled.key.name)
-        self.state.log.info('Read %s jobs.', len(self.book.jobs))
-        return True
-
-    def _restore(self, row: Row, recorded: Row | None) -> None:
-        job = typed(row, JobRow)['job']
-        queue = self._queue(job.queue)
-        if queue is None:
-            return
-        if recorded is None:
-            self.book.add(job, queue, self.clock.wall())
-            return
-        self.book.restore(
-            JobProgress(job, queue, recorded.version),
-            typed(recorded, ProgressRow),
-            self.clock.wall(),
-            self.clock.now(),
-        )
-
-    def _queue(self, name: str) -> Queue | None:
-        catalog = self.directory.catalog
-        return catalog.queues.get(name) if catalog else None
-
-    async def _poll_jobs(self) -> None:
-        while True:
-            await self.clock.sleep(POLL_MS)
-            for table in (JOB_TABLE, CANCEL_TABLE):
-                await self._poll(table)
-
-    async def _poll(self, table: str) -> None:
-        changes = await self.state.store.follow(table, self.version, 0)
-        if isinstance(changes, Snapshot):
-            self._take_rows(changes.rows)
-        elif isinstance(changes, HistoryLost):
-            scanned = await self.state.store.scan(table, self.state.service)
-            if isinstance(scanned, Snapshot):
-                self._take_rows(scanned.rows)
-
-    def _take_rows(self, rows: Iterable[Row]) -> None:
-        for row in rows:
-            if row.key.part != self.state.service or not row.version:
-                continue
-            if row.key.table == CANCEL_TABLE:
-                self.cancel(row.key.name)
-            else:
-                self.add(typed(row, JobRow)['job'])
-
     async def _follow_workers(self, nursery: trio.Nursery) -> None:
         while True:
             self._compare_workers(nursery)
@@ -223,6 +138,11 @@
             self.state.end_life(station, 'gone')
             self.state.stations.pop(station.worker.life)
 
+    def _evacuate(self, nursery: trio.Nursery) -> None:
+        for station in self.state.stations.values():
+            if station.worker.leaving and not station.gone:
+                evict(self.state, station, nursery)
+
     def _open_due(self) -> None:
         self.book.open_due(self.clock.wall())
 
--- a/cyclamenshift/scheduling/station.py
+++ b/cyclamenshift/scheduling/station.py
@@ -30,6 +30,7 @@
         self.acknowledged = 0
         self.misses = 0
         self.shunned_until = 0
+        self.reserved_until = 0
         self.scope = trio.CancelScope()
         self.wanted = trio.Event()
 
@@ -37,7 +38,8 @@
         """Return whether new runs may start here."""
         stays = self.registered and not self.gone and not self.worker.leaving
         answers = self.surveyed and not self.misses
-        return stays and answers and now >= self.shunned_until
+        free = now >= max(self.shunned_until, self.reserved_until)
+        return stays and answers and free
 
     def want(self) -> None:
         """Wake the task that keeps this worker."""
--- /dev/null
+++ b/cyclamenshift/scheduling/vacating.py
@@ -0,0 +1,64 @@
+"""
+cyclamenshift.scheduling.vacating
+=================================
+
+Empties VMs for the manager of the fleet, and workers that leave.
+"""
+
+from typing import Final
+
+import trio
+
+from ..decisions.eviction import may_evict
+from .orders import stop
+from .state import ServiceState
+from .station import Station
+
+#: How often a VM that becomes empty is looked at, ms.
+LOOK_MS: Final = 100
+#: How long an empty VM is kept so for the order that follows, ms.
+KEEP_EMPTY_MS: Final = 3_000
+
+
+async def vacate(state: ServiceState, vm_id: str, wait: int) -> bool:
+    """
+    Let a VM become empty within *wait* ms; return whether it is.
+
+    An empty VM gets nothing for a while; where the time is too short it is
+    used again at once.
+    """
+    stations = [
+        station
+        for station in state.stations.values()
+        if station.worker.vm_id == vm_id
+    ]
+    deadline = state.clock.now() + wait
+    for reserved in stations:
+        reserved.reserved_until = deadline + KEEP_EMPTY_MS
+    async with trio.open_nursery() as nursery:
+        while _occupied(state, stations) and state.clock.remaining(deadline):
+            for station in stations:
+                evict(state, station, nursery)
+            await state.clock.sleep(LOOK_MS)
+    empty = not _occupied(state, stations)
+    until = state.clock.now() + KEEP_EMPTY_MS if empty else 0
+    for released in stations:
+        released.reserved_until = until
+    state.wake()
+    return empty
+
+
+def evict(
+    state: ServiceState,
+    station: Station,
+    nursery: trio.Nursery,
+) -> None:
+    """Stop what may be stopped at a worker now, in tasks of *nursery*."""
+    for attempt in state.book.runs_at(station.worker.life):
+        if may_evict(attempt):
+            attempt.evicted = True
+            nursery.start_soon(stop, state, station, attempt)
+
+
+def _occupied(state: ServiceState, stations: list[Station]) -> bool:
+    return any(state.has_runs(station) for station in stations)
--- a/cyclamenshift/settings.py
+++ b/cyclamenshift/settings.py
@@ -91,13 +91,15 @@
     ``lease`` is how long a worker works on without hearing from its
     scheduler.  ``lease_horizon`` bounds every lease from the last proof of
     ownership.  ``keep_final`` is how long a final job can be asked for.
-    ``provider`` is the address of whoever provides the VMs.
+    A new manager of the fleet waits ``manager_lease`` before its first
+    order.  ``provider`` is the address of whoever provides the VMs.
     """
 
     plugin: Name
     lease: Millis
     lease_horizon: Millis
     keep_final: Millis
+    manager_lease: Millis
     provider: str
 
 
@@ -173,6 +175,7 @@
         'lease': 4_000,
         'lease_horizon': 9_000,
         'keep_final': 120_000,
+        'manager_lease': 3_000,
         'provider': '',
     },
 }
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,7 +12,8 @@
 from trio.testing import MockClock
 
 from cyclamenshift.errors import ProtocolError
-from cyclamenshift.job import JobState
+from cyclamenshift.fleetmessages import PoolReport, Vacate, Vacated, VmLoad
+from cyclamenshift.job import NOTHING, JobState
 from cyclamenshift.jobmessages import (
     CountAnswer,
     CountQuery,
@@ -69,6 +70,9 @@
     StateAnswer(True, 'checks', JobState.running),
     CountQuery('desk', 'checks'),
     CountAnswer(True, 7),
+    PoolReport('desk', 3, (VmLoad('vm-1', NOTHING, 2, 1),), NOTHING),
+    Vacate('desk', 'vm-1', 900),
+    Vacated(True),
 )
 MESSAGES: tuple[Message, ...] = (
     Greeting(1, 'entry-1', 'first'),
