Give up runs at workers that are gone; reload on SIGHUP; count VMs being emptied

Change: such runs are over when every lease has run out, or when the worker was born again; polls of 1.5 s; SIGHUP reads the settings again; the horizon of leases is 7 s and proved each second.

--- a/cyclamenshift/daemon.py
+++ b/cyclamenshift/daemon.py
@@ -19,6 +19,7 @@
 from . import firstrun, kernel, logs, plugin, settings, startup
 from .clock import Clock
 from .component import Component
+from .decisions.merging import differences
 from .errors import CyclamenshiftError
 from .source import Source
 
@@ -27,6 +28,13 @@
 EXIT_FAILED: Final = 1
 EXIT_USAGE: Final = 2
 
+#: The signals that the program obeys.
+SIGNALS: Final = (
+    signal.SIGTERM,
+    signal.SIGINT,
+    signal.SIGUSR1,
+    signal.SIGHUP,
+)
 #: The variable that names the settings where no argument does.
 SETTINGS_VARIABLE: Final = 'CYCLAMENSHIFT_SETTINGS'
 
@@ -86,53 +94,80 @@
         return EXIT_OK
     logs.configure(chosen['entry']['log_level'])
     code = EXIT_OK
+    process = Process(source, options.settings, chosen)
     try:
-        trio.run(serve, chosen, members, first)
+        trio.run(process.serve, members, first)
     except* CyclamenshiftError as errors:
         code = _fail(innermost(errors), EXIT_FAILED)
     return code
 
 
-async def serve(
-    chosen: settings.Settings,
-    members: Sequence[type[Component]],
-    first: dict[str, str] | None,
-) -> None:
-    """Run the kernel until a signal asks for the stop."""
-    process = kernel.build(chosen, Clock(), members)
-    async with trio.open_nursery() as nursery:
-        with trio.open_signal_receiver(
-            signal.SIGTERM,
-            signal.SIGINT,
-            signal.SIGUSR1,
-        ) as received:
-            nursery.start_soon(_obey_signals, process, received)
-            await nursery.start(_run_kernel, process, nursery.cancel_scope)
-            if first:
-                await startup.offer(process, first)
-            await trio.sleep_forever()
-
-
-async def _run_kernel(
-    process: kernel.Kernel,
-    scope: trio.CancelScope,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    await process.run(task_status)
-    scope.cancel()
-
-
-async def _obey_signals(
-    process: kernel.Kernel,
-    received: AsyncIterator[int],
-) -> None:
-    async for number in received:
-        if number == signal.SIGUSR1:
-            text = json.dumps(process.dump(), sort_keys=True, default=str)
-            sys.stderr.write(f'{text}\n')
-        else:
+class Process:
+    """The program while it runs: its kernel, its settings, its signals."""
+
+    def __init__(
+        self,
+        source: Source,
+        path: pathlib.Path,
+        chosen: settings.Settings,
+    ) -> None:
+        """Keep where the settings *chosen* came from."""
+        self.source = source
+        self.path = path
+        self.chosen = chosen
+
+    async def serve(
+        self,
+        members: Sequence[type[Component]],
+        first: dict[str, str] | None,
+    ) -> None:
+        """Run the kernel until a signal asks for the stop."""
+        self.kernel = kernel.build(self.chosen, Clock(), members)
+        async with trio.open_nursery() as nursery:
+            with trio.open_signal_receiver(*SIGNALS) as received:
+                nursery.start_soon(self._obey_signals, received)
+                await nursery.start(self._run_kernel, nursery.cancel_scope)
+                if first:
+                    await startup.offer(self.kernel, first)
+                await trio.sleep_forever()
+
+    def reload(self) -> None:
+        """
+        Read the settings again.
+
+        What can change while the process runs does; the rest waits for the
+        next start.  Wrong settings change nothing.
+        """
+        try:
+            fresh = self.source.load(self.path)
+        except CyclamenshiftError as error:
+            log.error('The settings are not read again: %s', error)
+            return
+        changes = [
+            '.'.join(change.path) for change in differences(self.chosen, fresh)
+        ]
+        self.chosen['jobs'].update(fresh['jobs'])
+        log.info('Read the settings again; changed: %s.', changes)
+
+    async def _run_kernel(
+        self,
+        scope: trio.CancelScope,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        await self.kernel.run(task_status)
+        scope.cancel()
+
+    async def _obey_signals(self, received: AsyncIterator[int]) -> None:
+        async for number in received:
             log.info('Received %s.', signal.Signals(number).name)
-            process.stop()
+            if number == signal.SIGUSR1:
+                state = self.kernel.dump()
+                text = json.dumps(state, sort_keys=True, default=str)
+                sys.stderr.write(f'{text}\n')
+            elif number == signal.SIGHUP:
+                self.reload()
+            else:
+                self.kernel.stop()
 
 
 def innermost(error: BaseException) -> BaseException:
--- a/cyclamenshift/managing/state.py
+++ b/cyclamenshift/managing/state.py
@@ -61,7 +61,7 @@
         for vm_id, ordered_at in tuple(self.down.items()):
             vm = self.vms.get(vm_id)
             back = vm is None or vm.phase is VmPhase.up
-            if back and asked_at > ordered_at:
+            if back and asked_at > ordered_at and vm_id not in self.busy:
                 self.down.pop(vm_id)
         self.wake()
 
@@ -85,7 +85,12 @@
     def standing(self, maintenance: Maintenance) -> Standing:
         """Return how a maintenance stands."""
         done = self.done.of(maintenance.number)
-        down = [vm_id for vm_id in self.down if vm_id in maintenance.vm_ids]
+        listed = {
+            vm.vm_id
+            for vm in self.vms.values()
+            if vm.phase is VmPhase.maintained
+        }
+        down = listed.union(self.down).intersection(maintenance.vm_ids)
         return Standing(maintenance, done, down)
 
     async def prove(self) -> bool:
--- a/cyclamenshift/platform/directory.py
+++ b/cyclamenshift/platform/directory.py
@@ -44,9 +44,9 @@
     convert,
 )
 
-#: How long the store may wait for a change of the operator's rows, ms.
-#: Within the history that it keeps.
-OPERATOR_WAIT_MS: Final = 10_000
+#: How long the store may wait for a change of the operator's rows, ms: a
+#: poll that hangs ends in time for the bound of a configuration.
+OPERATOR_WAIT_MS: Final = 1_500
 #: How often the registrations are looked at, ms: their heartbeats change
 #: them all the time, so that waiting for a change would not wait.
 WORKERS_POLL_MS: Final = 400
--- a/cyclamenshift/platform/settings.py
+++ b/cyclamenshift/platform/settings.py
@@ -23,9 +23,9 @@
 #: How long a worker works on without hearing from its scheduler, ms; the
 #: platform's longest lease bounds it.
 LEASE_MS: Final = 4_000
-#: How much longer than the longest lease tasks may work on while nobody
-#: reaches the store, ms.
-HORIZON_MARGIN_MS: Final = 3_000
+#: How long tasks may work on while nobody reaches the store, ms: longer than
+#: its usual outages of four to six seconds.
+HORIZON_MS: Final = 7_000
 #: The same for the manager of the fleet, where the file does not say, ms.
 MANAGER_LEASE_MS: Final = 3_000
 #: The name of the adapter's plug-ins.
@@ -126,7 +126,7 @@
         'jobs': {
             'plugin': NAME,
             'lease': min(LEASE_MS, longest),
-            'lease_horizon': longest + HORIZON_MARGIN_MS,
+            'lease_horizon': HORIZON_MS,
             'keep_final': round(bounds.get('status_s', 0) * SECOND_MS) or 1,
             'manager_lease': bounds.get('leaseMs', MANAGER_LEASE_MS),
             'provider': body['cloud']['address'],
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -57,6 +57,7 @@
             nursery.start_soon(self.state.recorder.run)
             nursery.start_soon(self._follow_workers, nursery)
             nursery.start_soon(self.rows.poll)
+            nursery.start_soon(self.state.keep_proof)
             nursery.start_soon(report_pool, self.state, self.tell_manager)
             while True:
                 changed = self.state.changed
@@ -127,6 +128,7 @@
             if worker.life not in self.state.stations:
                 keeper = Keeper(self.state, self.state.station(worker))
                 nursery.start_soon(keeper.keep)
+        self.state.lose_unknown(self.directory.workers)
         self.state.wake()
 
     def _part_with(self, station: Station) -> None:
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -5,6 +5,7 @@
 What the tasks of one service's scheduler share.
 """
 
+from collections.abc import Mapping
 from typing import Final
 
 import trio
@@ -23,6 +24,9 @@
 from .recorder import Recorder
 from .station import Station
 
+#: How old the proof of ownership may become, ms; small against the horizon
+#: of the leases that it bounds.
+PROOF_MS: Final = 1_000
 #: The wait before a call of the store that failed is tried again, ms.
 RETRY_MS: Final = 100
 
@@ -119,6 +123,33 @@
         """Note that every lease at a worker has run out."""
         self._lose(station, 'leases ran out')
 
+    def lose_unknown(self, workers: Mapping[str, Worker]) -> None:
+        """
+        Give up recorded runs at workers that are not registered any more.
+
+        Nobody can ask such a worker: its leases have to run out.
+        """
+        horizon = slowest(self.settings['lease_horizon'])
+        waited_out = self.clock.now() >= self.started_at + horizon
+        for life in tuple(self.book.at.keys() - self.stations.keys()):
+            worker_id, born = life
+            present = workers.get(worker_id)
+            reborn = present is not None and present.born > born
+            if waited_out or reborn:
+                lost = self.book.lose(life)
+                self.log.warning(
+                    '%s runs at %s are over: it is not registered.',
+                    len(lost),
+                    worker_id,
+                )
+
+    async def keep_proof(self) -> None:
+        """Prove the ownership again and again while nothing else does."""
+        while True:
+            await self.clock.sleep(PROOF_MS)
+            if self.clock.now() - self.tenure.confirmed_at >= PROOF_MS:
+                await self.check_tenure()
+
     def fail(self, attempt: Attempt, reason: str) -> None:
         """Note that an attempt never ran."""
         self.log.info('%s did not start: %s.', attempt.run, reason)
