--- a/cyclamenshift/decisions/book.py
+++ b/cyclamenshift/decisions/book.py
@@ -155,6 +155,11 @@
             self._drop_missing(life, report)
         return Noted(tuple(changed.values()), strays)
 
+    def doubt(self, life: Life) -> None:
+        """Note that a worker does not answer."""
+        for attempt in self.runs_at(life):
+            attempt.in_touch = False
+
     def lose(self, life: Life) -> list[Attempt]:
         """Note that nothing runs at *life* any more; return what did."""
         lost = list(self.at.get(life, {}).values())
@@ -229,6 +234,7 @@
         if attempt is None:
             return False
         self.accept(attempt, clock)
+        attempt.in_touch = True
         attempt.percent = status.percent
         attempt.usage = status.usage
         attempt.task.checkpoint = status.checkpoint or attempt.task.checkpoint
--- a/cyclamenshift/decisions/eviction.py
+++ b/cyclamenshift/decisions/eviction.py
@@ -45,7 +45,7 @@
 
 def _serves(task: Task) -> bool:
     return any(
-        attempt.phase is Phase.running
+        attempt.in_touch
         and not attempt.evicted
         and attempt.percent >= SERVING_PERCENT
         for attempt in task.attempts.values()
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -44,7 +44,8 @@
         Start planned at *now*, monotonic ms.
 
         ``seen_clock`` is the worker's time when it was last known there;
-        ``evicted`` tells whether it is being stopped to start elsewhere.
+        ``evicted`` tells whether it is being stopped to start elsewhere,
+        ``in_touch`` whether its worker answers.
         """
         self.task = task
         self.number = number
@@ -53,6 +54,7 @@
         self.since = now
         self.seen_clock = 0
         self.evicted = False
+        self.in_touch = False
         self.percent = 0
         self.usage = 0
 
--- a/cyclamenshift/scheduling/keeper.py
+++ b/cyclamenshift/scheduling/keeper.py
@@ -83,6 +83,7 @@
     async def _miss(self, reason: str) -> None:
         station = self.station
         station.misses += 1
+        self.state.book.doubt(station.worker.life)
         if station.misses == 1:
             self.state.log.info(
                 '%s does not answer: %s.',
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -189,11 +189,11 @@
 
     def _stop_surplus(self, nursery: trio.Nursery) -> None:
         for run, attempt in tuple(self.book.surplus.items()):
-            self.book.surplus.pop(run)
             station = self.state.stations.get(attempt.life)
             if attempt.phase is Phase.planned:
                 self.book.remove(attempt)
             elif station is not None:
+                self.book.surplus.pop(run)
                 nursery.start_soon(stop, self.state, station, attempt)
         for station, run in self.state.take_strays():
             nursery.start_soon(stop_stray, self.state, station, run)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,9 +10,12 @@
 
 from cyclamenshift import settings
 from cyclamenshift.decisions.merging import Document
+from cyclamenshift.directory import Catalog, Queue, Service
+from cyclamenshift.http1 import Address
 from cyclamenshift.job import Job, Room, Step
 from cyclamenshift.model import EntryVm, Load, Request, Vm, VmState
 from cyclamenshift.rows import BudgetRow, ClaimRow, VmRow
+from cyclamenshift.worker import Worker
 
 #: The wall time at which virtual time starts, ms since the epoch.
 WALL_START = 1_800_000_000_000
@@ -99,6 +102,56 @@
     return Job(**(values | changes))
 
 
+def worker(worker_id: str = 'worker-1', **changes: Any) -> Worker:
+    """Return a worker with 8 cores."""
+    values: dict[str, Any] = {
+        'worker_id': worker_id,
+        'service': 'desk',
+        'address': Address('127.0.0.1', 1),
+        'vm_id': f'vm-of-{worker_id}',
+        'data_centre': 'dc-1',
+        'rack': 'rack-1',
+        'labels': frozenset(('small', 'rack-1')),
+        'room': Room(8_000, 16_384),
+        'born': WALL_START,
+        'leaving': False,
+    }
+    return Worker(**(values | changes))
+
+
+def queue(name: str = 'checks', **changes: Any) -> Queue:
+    """Return a queue of the service desk; a task may fail once."""
+    values: dict[str, Any] = {
+        'name': name,
+        'host': 'jobs.example',
+        'prefix': f'/{name}/',
+        'service': 'desk',
+        'priority': 0,
+        'attempts': 2,
+        'stretch': 1.5,
+        'allowance': 600,
+    }
+    return Queue(**(values | changes))
+
+
+def catalog(**changes: Any) -> Catalog:
+    """Return two services with a queue each, and a spare pool."""
+    values: dict[str, Any] = {
+        'version': 1,
+        'queues': {
+            'checks': queue(),
+            'charges': queue('charges', service='billing'),
+        },
+        'services': {
+            'desk': Service('desk', spare=False, guarded=True),
+            'billing': Service('billing', spare=False, guarded=True),
+            'portal': Service('portal', spare=True, guarded=True),
+        },
+        'body_limit': 262_144,
+    }
+    return Catalog(**(values | changes))
+
+
 def vm_row(**changes: Any) -> VmRow:
     """Return the row of a serving VM."""
     values: dict[str, Any] = {
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,6 +11,7 @@
 import trio
 
 from .standins.fakes import Cluster
+from .standins.jobs import JobCluster
 
 
 @pytest.fixture
@@ -18,3 +19,10 @@
     """Give a cluster without an entry VM; end them all after the test."""
     yield Cluster(nursery)
     nursery.cancel_scope.cancel()
+
+
+@pytest.fixture
+async def jobs(nursery: trio.Nursery) -> AsyncIterator[JobCluster]:
+    """Give a cluster that serves jobs; end its entry VMs after the test."""
+    yield JobCluster(nursery)
+    nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/examples.py
@@ -0,0 +1,49 @@
+"""
+tests.examples
+==============
+
+One example of each body that peers send.
+"""
+
+from cyclamenshift.fleetmessages import PoolReport, Vacate, Vacated, VmLoad
+from cyclamenshift.forwarding import (
+    AnswerDone,
+    AnswerNotRun,
+    AnswerUnknown,
+    Forward,
+)
+from cyclamenshift.job import NOTHING, JobState
+from cyclamenshift.jobmessages import (
+    CountAnswer,
+    CountQuery,
+    Holding,
+    Holdings,
+    JobCancelled,
+    JobStored,
+    StateAnswer,
+    StateQuery,
+)
+from cyclamenshift.model import Reason
+from cyclamenshift.news import Loads, Versions
+from cyclamenshift.peer import Body
+
+from . import builders
+
+EXAMPLES: tuple[Body, ...] = (
+    Forward('id', 'desk', 'look-up', b'\x00\xff', 'text/plain', 9, True, ''),
+    AnswerDone(200, 'text/plain', b'\x00body'),
+    AnswerNotRun(Reason.refused, 'remedy', 5),
+    AnswerUnknown(Reason.answer_lost, 'remedy'),
+    Loads((builders.load(), builders.load(pool='spare'))),
+    Versions(3, 17),
+    Holdings((Holding('desk', 3),)),
+    JobStored('desk', builders.job()),
+    JobCancelled('desk', 'job-1'),
+    StateQuery('desk', 'job-1'),
+    StateAnswer(True, 'checks', JobState.running),
+    CountQuery('desk', 'checks'),
+    CountAnswer(True, 7),
+    PoolReport('desk', 3, (VmLoad('vm-1', NOTHING, 2, 1),), NOTHING),
+    Vacate('desk', 'vm-1', 900),
+    Vacated(True),
+)
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -321,7 +321,7 @@
             self._members(),
         )
         scope = trio.CancelScope()
-        await self.nursery.start(_run_in, scope, process.run)
+        await self.nursery.start(run_in, scope, process.run)
         entry = Entry(
             process,
             process.get(CallerFrontend),
@@ -398,11 +398,12 @@
         ]
 
 
-async def _run_in(
+async def run_in(
     scope: trio.CancelScope,
     run: Callable[..., Awaitable[None]],
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
+    """Run something inside a scope that a test can cancel."""
     with scope:
         await run(task_status)
 
--- /dev/null
+++ b/tests/standins/jobs.py
@@ -0,0 +1,381 @@
+"""
+tests.standins.jobs
+===================
+
+Several entry VMs that serve jobs, in one trio run on virtual time.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple
+
+import trio
+
+from cyclamenshift import kernel, startup
+from cyclamenshift.clock import Clock
+from cyclamenshift.component import Component
+from cyclamenshift.control import Control
+from cyclamenshift.controls.desk import JobDesk, Stored
+from cyclamenshift.controls.ownership import Ownership
+from cyclamenshift.directory import Catalog, Directory, Maintenance, Queue
+from cyclamenshift.duties.fleet import FleetDuty
+from cyclamenshift.duties.scheduler import SchedulerDuty
+from cyclamenshift.duty import Duty
+from cyclamenshift.job import Job, JobState
+from cyclamenshift.provider import (
+    Authority,
+    ProvidedVm,
+    VmAccepted,
+    VmPhase,
+    VmProvider,
+    VmRefusal,
+    VmRefused,
+    VmResult,
+    VmUnanswered,
+)
+from cyclamenshift.worker import Worker
+
+from ..builders import WALL_START, catalog, entry_settings, worker
+from .fakes import FakePeer, FakeStore, Network, SharedStore, run_in
+from .workers import FakeWorkerClient, Workers, now_ms
+
+#: How long a VM is down for its maintenance, and on the way to a pool, ms.
+MAINTENANCE_MS = 2_000
+MOVE_MS = 1_500
+#: How long a caller waits for its answer, ms.
+WAIT_MS = 3_000
+
+
+class VmOrder(NamedTuple):
+    """An order for a VM, as the provider took it, and when, ms."""
+
+    vm_id: str
+    pool: str
+    maintenance: int
+    authority: Authority
+    at: int
+
+
+class Site:
+    """The platform of a test: configuration, VMs and registrations."""
+
+    def __init__(self) -> None:
+        """Start with two services and a spare pool, without a VM."""
+        self.catalog: Catalog | None = catalog()
+        self.workers: dict[str, Worker] = {}
+        self.maintenances: dict[int, Maintenance] = {}
+        self.vms: dict[str, ProvidedVm] = {}
+        self.published: dict[int, JobState] = {}
+        self.orders: list[VmOrder] = []
+        self.changed = trio.Event()
+
+    def tell(self) -> None:
+        """Let the directories look again."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+class FakeDirectory(Directory):
+    """Tells what the site has."""
+
+    name = 'fake'
+    site: Site
+
+    @property
+    def catalog(self) -> Catalog | None:
+        """The configuration of the site."""
+        return self.site.catalog
+
+    @property
+    def workers(self) -> Mapping[str, Worker]:
+        """The registrations of the site."""
+        return self.site.workers
+
+    @property
+    def maintenances(self) -> Mapping[int, Maintenance]:
+        """The requests of the site."""
+        return self.site.maintenances
+
+    async def changed(self) -> None:
+        """Wait for the site to change."""
+        await self.site.changed.wait()
+
+    def watch(self, name: str, *, wanted: bool) -> None:
+        """Nothing to do: the site is always seen."""
+
+    async def publish(self, maintenance: int, state: JobState) -> bool:
+        """Keep the state."""
+        self.site.published[maintenance] = state
+        return True
+
+
+class FakeVms(VmProvider):
+    """Moves and maintains the VMs of the site."""
+
+    name = 'fake'
+
+    @property
+    def cluster(self) -> 'JobCluster':
+        """The cluster whose VMs these are."""
+        raise NotImplementedError
+
+    async def list_vms(self) -> list[ProvidedVm] | VmUnanswered:
+        """Return the VMs of the site."""
+        await self.clock.sleep(4)
+        return list(self.cluster.site.vms.values())
+
+    async def move(
+        self,
+        vm_id: str,
+        pool: str,
+        authority: Authority,
+    ) -> VmResult:
+        """Move a VM; its worker comes back in the other pool."""
+        return await self._order(VmOrder(vm_id, pool, 0, authority, 0))
+
+    async def maintain(
+        self,
+        vm_id: str,
+        maintenance: int,
+        authority: Authority,
+    ) -> VmResult:
+        """Take a VM down; its worker comes back in its pool."""
+        return await self._order(VmOrder(vm_id, '', maintenance, authority, 0))
+
+    async def _order(self, order: VmOrder) -> VmResult:
+        await self.clock.sleep(4)
+        cluster = self.cluster
+        vm = cluster.site.vms[order.vm_id]
+        if vm.phase is not VmPhase.up:
+            return VmRefused(VmRefusal.busy)
+        cluster.site.orders.append(order._replace(at=now_ms()))
+        cluster.nursery.start_soon(cluster.take_down, order)
+        return VmAccepted()
+
+
+class JobEntry(NamedTuple):
+    """One entry VM of a cluster, with the components that tests use."""
+
+    kernel: kernel.Kernel
+    desk: JobDesk
+    ownership: Ownership
+    scheduler: SchedulerDuty
+    fleet: FleetDuty
+    scope: trio.CancelScope
+
+
+class JobCluster:
+    """Entry VMs over one store, one network, one site and its workers."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        """Start without an entry VM, and without a worker."""
+        self.nursery = nursery
+        self.store = SharedStore()
+        self.network = Network()
+        self.world = Workers()
+        self.site = Site()
+        self.entries: dict[str, JobEntry] = {}
+        self.births = 0
+
+    def add_workers(self, service: str, count: int, **changes: Any) -> None:
+        """Start *count* VMs with workers in the pool of *service*."""
+        for number in range(1, count + 1):
+            self.add_vm(f'{service}-vm-{number}', service, **changes)
+
+    def add_vm(self, vm_id: str, service: str, **changes: Any) -> None:
+        """Start a VM in the pool of *service*, with a worker if not spare."""
+        made = worker(f'{vm_id}-w0', service=service, vm_id=vm_id, **changes)
+        self.site.vms[vm_id] = ProvidedVm(
+            vm_id=vm_id,
+            pool=service,
+            phase=VmPhase.up,
+            data_centre=made.data_centre,
+            rack=made.rack,
+            labels=made.labels,
+            room=made.room,
+            worker_id='',
+        )
+        self.register(vm_id)
+
+    def register(self, vm_id: str) -> None:
+        """Let a new worker on a VM register itself, if its pool is on."""
+        vm = self.site.vms[vm_id]
+        services = self.site.catalog.services if self.site.catalog else {}
+        if services[vm.pool].spare:
+            return
+        self.births += 1
+        made = worker(
+            f'{vm_id}-w{self.births}',
+            service=vm.pool,
+            vm_id=vm_id,
+            rack=vm.rack,
+            room=vm.room,
+            labels=vm.labels,
+            born=WALL_START + self.births,
+        )
+        self.world.add(made)
+        self.site.workers[made.worker_id] = made
+        self.site.tell()
+
+    def worker_on(self, vm_id: str) -> str:
+        """Return the id of the worker that a VM has now."""
+        return max(
+            (made.born, made.worker_id)
+            for made in self.site.workers.values()
+            if made.vm_id == vm_id
+        )[1]
+
+    def in_pool(self, pool: str) -> int:
+        """Return how many VMs a pool has."""
+        return sum(vm.pool == pool for vm in self.site.vms.values())
+
+    async def take_down(self, order: VmOrder) -> None:
+        """End what runs on a VM, and bring it back later."""
+        vm = self.site.vms[order.vm_id]
+        for worker_id, made in tuple(self.site.workers.items()):
+            if made.vm_id == order.vm_id:
+                self.site.workers.pop(worker_id)
+                self.world.crash(worker_id)
+        phase = VmPhase.maintained if order.maintenance else VmPhase.moving
+        pool = order.pool or vm.pool
+        self.site.vms[order.vm_id] = vm._replace(phase=phase, pool=pool)
+        self.site.tell()
+        pause = MAINTENANCE_MS if order.maintenance else MOVE_MS
+        await trio.sleep(pause / 1000)
+        back = self.site.vms[order.vm_id]
+        self.site.vms[order.vm_id] = back._replace(phase=VmPhase.up)
+        self.register(order.vm_id)
+
+    async def start(self, entry_id: str) -> JobEntry:
+        """Start one entry VM and return it when it has started."""
+        kernel.load_families()
+        process = kernel.build(
+            entry_settings(entry_id, entry={'work': 'jobs'}),
+            Clock(WALL_START),
+            self._members(),
+        )
+        scope = trio.CancelScope()
+        await self.nursery.start(run_in, scope, process.run)
+        entry = JobEntry(
+            process,
+            process.get(JobDesk),
+            process.get(Ownership),
+            process.get(SchedulerDuty),
+            process.get(FleetDuty),
+            scope,
+        )
+        self.entries[entry_id] = entry
+        return entry
+
+    async def start_all(self, count: int) -> list[JobEntry]:
+        """Start *count* entry VMs and wait until every domain is owned."""
+        entries = [
+            await self.start(f'entry-{number}')
+            for number in range(1, count + 1)
+        ]
+        await self.until(self.owned)
+        return entries
+
+    def owned(self) -> bool:
+        """Return whether each domain has an owner that has read its rows."""
+        loaded = {
+            service
+            for entry in self.entries.values()
+            for service, scheduler in entry.scheduler.schedulers.items()
+            if scheduler.loaded
+        }
+        managed = any(entry.fleet.manager for entry in self.entries.values())
+        return loaded == {'desk', 'billing'} and managed
+
+    def owner(self, service: str) -> str:
+        """Return the id of the entry VM that schedules *service*."""
+        return next(
+            entry_id
+            for entry_id, entry in self.entries.items()
+            if service in entry.scheduler.schedulers
+        )
+
+    def other(self, service: str) -> JobEntry:
+        """Return an entry VM that does not schedule *service*."""
+        return next(
+            entry
+            for entry in self.entries.values()
+            if service not in entry.scheduler.schedulers
+        )
+
+    async def submit(self, entry: JobEntry, job: Job) -> None:
+        """Hand in a job, which has to be accepted."""
+        self.know(job)
+        queue = self.queue_of(job)
+        result = await entry.desk.submit(queue, job, WAIT_MS)
+        assert isinstance(result, Stored), result
+
+    def know(self, job: Job) -> None:
+        """Let the workers know what the tasks of *job* are."""
+        for number, step in enumerate(job.steps):
+            self.world.steps[job.job_id, number] = step
+
+    async def state_of(self, job: Job) -> object:
+        """Return how a job stands, asked at any entry VM."""
+        entry = next(iter(self.entries.values()))
+        return await entry.desk.state_of(self.queue_of(job), job.job_id)
+
+    async def cancel(self, job: Job) -> None:
+        """Cancel a job, which has to be accepted."""
+        entry = next(iter(self.entries.values()))
+        queue = self.queue_of(job)
+        result = await entry.desk.cancel(queue, job.job_id, WAIT_MS)
+        assert isinstance(result, Stored), result
+
+    def queue_of(self, job: Job) -> Queue:
+        """Return the queue that a job was handed in to."""
+        assert self.site.catalog
+        return self.site.catalog.queues[job.queue]
+
+    async def until_state(self, state: JobState, *jobs: Job) -> None:
+        """Let virtual time pass until all *jobs* stand so."""
+        with trio.fail_after(600):
+            for job in jobs:
+                while await self.state_of(job) is not state:
+                    await trio.sleep(0.02)
+
+    async def until(self, condition: Callable[[], object]) -> None:
+        """Let virtual time pass until *condition* holds."""
+        with trio.fail_after(600):
+            while not condition():
+                await trio.sleep(0.01)
+
+    def kill(self, entry_id: str) -> None:
+        """End an entry VM at once, as if its machine were gone."""
+        self.network.peers.pop(entry_id, None)
+        self.entries.pop(entry_id).scope.cancel()
+
+    def _members(self) -> list[type[Component]]:
+        cluster = self
+
+        class BoundStore(FakeStore):
+            store = cluster.store
+
+        class BoundPeer(FakePeer):
+            network = cluster.network
+
+        class BoundWorkers(FakeWorkerClient):
+            world = cluster.world
+            nursery = cluster.nursery
+
+        class BoundDirectory(FakeDirectory):
+            site = cluster.site
+
+        class BoundVms(FakeVms):
+            @property
+            def cluster(self) -> JobCluster:
+                return cluster
+
+        return [
+            BoundStore,
+            BoundPeer,
+            BoundWorkers,
+            BoundDirectory,
+            BoundVms,
+            *startup.members_for(Control, 'jobs'),
+            *startup.members_for(Duty, 'jobs'),
+        ]
--- /dev/null
+++ b/tests/standins/workers.py
@@ -0,0 +1,388 @@
+"""
+tests.standins.workers
+======================
+
+Workers that run tasks under leases, on virtual time, and fail by a script.
+
+Every client of one test shares them.  They keep a record of all that ran,
+from which ``faults`` tells what no scheduler may let happen.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import trio
+
+from cyclamenshift.clock import SECOND_MS
+from cyclamenshift.job import (
+    NOTHING,
+    Ending,
+    Room,
+    RunEnd,
+    RunId,
+    RunStatus,
+    Step,
+    TaskId,
+)
+from cyclamenshift.worker import (
+    Accepted,
+    OrderResult,
+    Pace,
+    Refused,
+    RefusalReason,
+    Renewal,
+    Report,
+    Start,
+    Unanswered,
+    Worker,
+    WorkerClient,
+)
+
+#: How long an order takes there and back, ms.
+ORDER_MS = 4
+#: How long an answer that was lost is waited for, ms.
+LOST_MS = 400
+#: How long a task runs that no test says more of, ms.
+RUN_MS = 500
+#: How long a long-running task takes to serve, ms.
+STARTUP_MS = 700
+#: How often a worker that waits for an end looks, ms.
+LOOK_MS = 5
+#: How long a worker takes to stop a run, ms.
+STOP_MS = 75
+
+
+class Started(NamedTuple):
+    """One run that a worker began, and when on virtual time, ms."""
+
+    run: RunId
+    worker_id: str
+    at: int
+
+
+class SimRun:
+    """A run at a worker."""
+
+    def __init__(self, run: RunId, began: int, ends: int | None) -> None:
+        """Run from *began* until *ends*, None for ever; both in ms."""
+        self.run = run
+        self.began = began
+        self.ends = ends
+        self.stops: int | None = None
+
+    def ending(self, now: int) -> Ending | None:
+        """Return how the run has ended by *now*, None if it goes on."""
+        if self.stops is not None and now >= self.stops:
+            return Ending.stopped
+        if self.ends is not None and now >= self.ends:
+            return Ending.done
+        return None
+
+    def percent(self, now: int) -> int:
+        """Return how far the run is."""
+        length = STARTUP_MS if self.ends is None else self.ends - self.began
+        return min(100, (now - self.began) * 100 // max(1, length))
+
+
+class SimWorker:
+    """One life of a worker."""
+
+    def __init__(self, worker: Worker, clock_ahead: int) -> None:
+        """Start idle; its clock is *clock_ahead* ms before virtual time."""
+        self.worker = worker
+        self.clock_ahead = clock_ahead
+        self.fence = 0
+        self.lease = 0
+        self.running: dict[RunId, SimRun] = {}
+        self.ended: list[RunEnd] = []
+        self.count = 0
+        self.highest: dict[TaskId, int] = {}
+        self.dead = False
+        self.silent_to: set[str] | None = None
+        self.fails_all = False
+
+    def clock(self, now: int) -> int:
+        """Return the worker's time at virtual time *now*, ms."""
+        return now + self.clock_ahead
+
+    def silent_for(self, entry_id: str) -> bool:
+        """Return whether orders of *entry_id* get lost on the way."""
+        return self.silent_to is not None and (
+            not self.silent_to or entry_id in self.silent_to
+        )
+
+
+class Workers:
+    """The workers of a test, and the record of what they ran."""
+
+    def __init__(self) -> None:
+        """Start without a worker."""
+        self.lives: dict[tuple[str, int], SimWorker] = {}
+        self.steps: dict[tuple[str, int], Step] = {}
+        self.run_ms: dict[TaskId, int] = {}
+        self.poison: set[str] = set()
+        self.started: list[Started] = []
+        self.endings: list[tuple[int, str, RunEnd]] = []
+        self.lose_answers = 0
+        self.late_orders: list[int] = []
+
+    def add(self, worker: Worker) -> SimWorker:
+        """Start a worker."""
+        self.lives[worker.life] = SimWorker(worker, len(self.lives) * 1000)
+        return self.lives[worker.life]
+
+    def crash(self, worker_id: str) -> None:
+        """End a worker and everything that runs on it, unseen."""
+        for life, sim in self.lives.items():
+            if life[0] == worker_id:
+                sim.dead = True
+                sim.running.clear()
+
+    def of(self, worker_id: str) -> SimWorker:
+        """Return the present life of a worker."""
+        return max(
+            (sim for life, sim in self.lives.items() if life[0] == worker_id),
+            key=lambda sim: sim.worker.born,
+        )
+
+    def let_time_pass(self) -> None:
+        """End the runs whose time has come, at every worker."""
+        now = now_ms()
+        for sim in self.lives.values():
+            self._pass(sim, now)
+
+    def start(self, sim: SimWorker, order: Start) -> OrderResult:
+        """Carry out an order to start a run."""
+        now = now_ms()
+        self._pass(sim, now)
+        refused = self._refuse(sim, order, now)
+        if refused:
+            return refused
+        if order.run not in sim.running:
+            ends = self._end_of(order.run.task, now)
+            sim.running[order.run] = SimRun(order.run, now, ends)
+            worker_id = sim.worker.worker_id
+            self.started.append(Started(order.run, worker_id, now))
+        sim.fence = max(sim.fence, order.fence)
+        sim.lease = max(sim.lease, order.expires)
+        return Accepted(sim.clock(now))
+
+    def stop(self, sim: SimWorker, run: RunId, fence: int) -> OrderResult:
+        """Carry out an order to stop a run."""
+        now = now_ms()
+        self._pass(sim, now)
+        if fence < sim.fence:
+            return Refused(RefusalReason.fenced)
+        sim.fence = fence
+        highest = sim.highest.get(run.task, 0)
+        sim.highest[run.task] = max(highest, run.number)
+        running = sim.running.get(run)
+        if running:
+            running.stops = now + STOP_MS
+        return Accepted(sim.clock(now))
+
+    def renew(self, sim: SimWorker, order: Renewal) -> Report | Refused:
+        """Carry out the order to renew the lease, and report."""
+        now = now_ms()
+        self._pass(sim, now)
+        if order.fence < sim.fence:
+            return Refused(RefusalReason.fenced)
+        sim.fence = order.fence
+        sim.lease = max(sim.lease, order.expires)
+        sim.ended = [
+            end for end in sim.ended if end.number > order.acknowledged
+        ]
+        return Report(
+            clock=sim.clock(now),
+            born=sim.worker.born,
+            running=tuple(
+                RunStatus(run, '', sim_run.percent(now), 0)
+                for run, sim_run in sim.running.items()
+            ),
+            ended=tuple(sim.ended),
+        )
+
+    def steps_started(self) -> list[int]:
+        """Return the step of each run, in the order of their starts."""
+        return [started.run.task.step for started in self.started]
+
+    def faults(self) -> list[str]:
+        """Return everything that went wrong in what the workers ran."""
+        return [
+            *self._doubled(),
+            *self._started_after_the_end(),
+            *self._started_twice_as_one_run(),
+        ]
+
+    def _pass(self, sim: SimWorker, now: int) -> None:
+        lapsed = sim.clock(now) > sim.lease
+        for run, sim_run in tuple(sim.running.items()):
+            ending = sim_run.ending(now)
+            if ending is Ending.done and self._fails(sim, run):
+                ending = Ending.failed
+            if ending is None and lapsed:
+                ending = Ending.lapsed
+            if ending is not None:
+                self._end(sim, run, ending)
+
+    def _fails(self, sim: SimWorker, run: RunId) -> bool:
+        return sim.fails_all or run.task.job_id in self.poison
+
+    def _end(self, sim: SimWorker, run: RunId, ending: Ending) -> None:
+        sim.running.pop(run)
+        sim.count += 1
+        highest = sim.highest.get(run.task, 0)
+        sim.highest[run.task] = max(highest, run.number)
+        end = RunEnd(sim.count, run, ending, '')
+        sim.ended.append(end)
+        self.endings.append((now_ms(), sim.worker.worker_id, end))
+
+    def _refuse(
+        self,
+        sim: SimWorker,
+        order: Start,
+        now: int,
+    ) -> Refused | None:
+        if order.fence < sim.fence:
+            return Refused(RefusalReason.fenced)
+        if order.run in sim.running:
+            return None
+        room = self._room(order.run.task)
+        stale = sim.highest.get(order.run.task, 0)
+        reasons = {
+            RefusalReason.stale_run: order.run.number <= stale,
+            RefusalReason.expired: order.expires < sim.clock(now),
+            RefusalReason.no_room: not self._free(sim).holds(room),
+        }
+        refused = [reason for reason, holds in reasons.items() if holds]
+        return Refused(refused[0]) if refused else None
+
+    def _free(self, sim: SimWorker) -> Room:
+        free = sim.worker.room
+        for run in sim.running:
+            free = free.minus(self._room(run.task))
+        return free
+
+    def _room(self, task: TaskId) -> Room:
+        step = self.steps.get((task.job_id, task.step))
+        return step.room if step else NOTHING
+
+    def _end_of(self, task: TaskId, now: int) -> int | None:
+        step = self.steps.get((task.job_id, task.step))
+        if step and step.long_running:
+            return None
+        return now + self.run_ms.get(task, RUN_MS)
+
+    def _doubled(self) -> Iterable[str]:
+        spans = Counter[TaskId]()
+        for sim in self.lives.values():
+            spans.update(run.task for run in sim.running)
+        for task, count in spans.items():
+            step = self.steps[task.job_id, task.step]
+            if count > 1 and not step.speculative:
+                yield f'{task} runs {count} times'
+
+    def _started_after_the_end(self) -> Iterable[str]:
+        done = {
+            end.run.task: at
+            for at, _worker_id, end in self.endings
+            if end.ending is Ending.done
+        }
+        for started in self.started:
+            if started.at > done.get(started.run.task, started.at):
+                yield f'{started} came after its task was done'
+
+    def _started_twice_as_one_run(self) -> Iterable[str]:
+        counts = Counter(started.run for started in self.started)
+        for run, count in counts.items():
+            if count > 1:
+                yield f'{run} was started {count} times'
+
+
+class FakeWorkerClient(WorkerClient):
+    """Gives orders to the shared workers."""
+
+    name = 'fake'
+    world: Workers
+
+    async def start(self, worker: Worker, order: Start) -> OrderResult:
+        """Let *worker* start a run; the answer may be lost by the script."""
+        sim = self.world.lives[worker.life]
+        unreached = await self._reach(sim)
+        if unreached:
+            return unreached
+        if self.world.late_orders:
+            late = self.world.late_orders.pop()
+            self._nursery().start_soon(self._start_late, sim, order, late)
+            await self.clock.sleep(LOST_MS)
+            return Unanswered(sent=True, reason='late')
+        result = self.world.start(sim, order)
+        if self.world.lose_answers:
+            self.world.lose_answers -= 1
+            await self.clock.sleep(LOST_MS)
+            return Unanswered(sent=True, reason='lost')
+        return result
+
+    async def stop(
+        self,
+        worker: Worker,
+        run: RunId,
+        fence: int,
+    ) -> OrderResult:
+        """Let *worker* stop a run."""
+        sim = self.world.lives[worker.life]
+        unreached = await self._reach(sim)
+        return unreached or self.world.stop(sim, run, fence)
+
+    async def renew(
+        self,
+        worker: Worker,
+        order: Renewal,
+    ) -> Report | Refused | Unanswered:
+        """Renew the lease, and wait for an end as *order* says."""
+        sim = self.world.lives[worker.life]
+        unreached = await self._reach(sim)
+        if unreached:
+            return unreached
+        until = self.clock.now() + order.wait
+        report = self.world.renew(sim, order)
+        while isinstance(report, Report) and not report.ended:
+            if self.clock.now() >= until:
+                break
+            await self.clock.sleep(LOOK_MS)
+            report = self.world.renew(sim, order)
+        return await self._reach(sim) or report
+
+    async def pace(self, worker: Worker, order: Pace) -> OrderResult:
+        """Accept any pace."""
+        return Accepted(0)
+
+    async def _reach(self, sim: SimWorker) -> Unanswered | None:
+        if sim.dead:
+            await self.clock.sleep(ORDER_MS)
+            return Unanswered(sent=False, reason='refused')
+        if sim.silent_for(self.kernel.settings['entry']['id']):
+            await self.clock.sleep(LOST_MS)
+            return Unanswered(sent=True, reason='silent')
+        await self.clock.sleep(ORDER_MS)
+        return None
+
+    async def _start_late(
+        self,
+        sim: SimWorker,
+        order: Start,
+        late: int,
+    ) -> None:
+        await self.clock.sleep(late)
+        self.world.start(sim, order)
+
+    def _nursery(self) -> trio.Nursery:
+        return self.nursery
+
+    nursery: trio.Nursery
+
+
+def now_ms() -> int:
+    """Return virtual time, ms."""
+    return round(trio.current_time() * SECOND_MS)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,115 @@
+"""
+tests.test_fleet
+================
+
+VMs lent between pools and maintained, with tasks running on them.
+"""
+
+from collections import Counter
+
+import trio
+from trio.testing import MockClock
+
+from cyclamenshift.directory import Maintenance
+from cyclamenshift.job import JobState, Room, TaskId
+
+from .builders import job, step
+from .standins.jobs import MAINTENANCE_MS, JobCluster
+
+#: The room of a VM that holds two small tasks.
+SMALL = Room(2_000, 16_384)
+
+
+def most_down(jobs: JobCluster) -> int:
+    """Return how many VMs were down for maintenance at a time."""
+    begins = [order.at for order in jobs.site.orders if order.maintenance]
+    return max(
+        sum(begun <= at < begun + MAINTENANCE_MS for begun in begins)
+        for at in begins
+    )
+
+
+async def test_maintenance_keeps_its_limit(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Every VM is maintained once, no more at a time than allowed."""
+    jobs.add_workers('desk', 6)
+    await jobs.start_all(2)
+    vm_ids = tuple(sorted(jobs.site.vms))
+    jobs.site.maintenances[1] = Maintenance(1, vm_ids, 20_000, 2)
+    await jobs.until(
+        lambda: jobs.site.published.get(1) is JobState.completed,
+    )
+    orders = [order for order in jobs.site.orders if order.maintenance]
+    assert Counter(order.vm_id for order in orders) == Counter(vm_ids)
+    assert most_down(jobs) == 2
+
+
+async def test_vms_that_become_empty_count_as_down(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """The limit holds where emptying a VM takes longer than a listing."""
+    jobs.add_workers('desk', 4, room=SMALL)
+    (entry,) = await jobs.start_all(1)
+    slow = [job(f'job-{number}') for number in range(4)]
+    for handed_in in slow:
+        jobs.world.run_ms[TaskId(handed_in.job_id, 0, 0, 0)] = 2_500
+        await jobs.submit(entry, handed_in)
+    await jobs.until(lambda: len(jobs.world.started) == 8)
+    vm_ids = tuple(sorted(jobs.site.vms))
+    jobs.site.maintenances[1] = Maintenance(1, vm_ids, 30_000, 1)
+    await jobs.until(
+        lambda: jobs.site.published.get(1) is JobState.completed,
+    )
+    assert most_down(jobs) == 1
+    assert not jobs.world.faults()
+
+
+async def test_silent_workers_count_against_the_disruption_limit(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """No task is moved away while its siblings do not serve."""
+    jobs.add_workers('desk', 4)
+    (entry,) = await jobs.start_all(1)
+    lasting = job(
+        steps=(
+            step(
+                tasks=4,
+                long_running=True,
+                disruption_limit=1,
+                worker_limit=1,
+            ),
+        ),
+    )
+    await jobs.submit(entry, lasting)
+    await jobs.until(lambda: len(jobs.world.started) == 4)
+    await trio.sleep(2)
+    silent = jobs.worker_on('desk-vm-1')
+    jobs.world.of(silent).silent_to = set()
+    await trio.sleep(2)
+    others = tuple(f'desk-vm-{number}' for number in (2, 3, 4))
+    jobs.site.maintenances[1] = Maintenance(1, others, 30_000, 3)
+    await trio.sleep(1.5)
+    assert not jobs.site.orders
+
+
+async def test_busy_pool_gets_spare_vms(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """VMs come from the spare pool on demand, and go back after it."""
+    jobs.add_workers('desk', 1, room=SMALL)
+    jobs.add_workers('billing', 1, room=SMALL)
+    for number in range(3):
+        jobs.add_vm(f'portal-vm-{number}', 'portal', room=SMALL)
+    (entry,) = await jobs.start_all(1)
+    wide = job(steps=(step(tasks=24),))
+    await jobs.submit(entry, wide)
+    await jobs.until_state(JobState.completed, wide)
+    pools = Counter(order.pool for order in jobs.site.orders)
+    assert pools['desk'] == 3
+    await jobs.until(lambda: jobs.in_pool('portal') == 3)
+    assert not jobs.world.faults()
--- /dev/null
+++ b/tests/test_jobs.py
@@ -0,0 +1,116 @@
+"""
+tests.test_jobs
+===============
+
+Jobs over the whole path: stored, scheduled, run and told, with failures.
+"""
+
+import trio
+from trio.testing import MockClock
+
+from cyclamenshift.job import JobState, Room
+
+from .builders import job, step
+from .standins.jobs import JobCluster
+
+
+async def test_job_is_run_and_told(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Steps run in their order; the job is told as completed."""
+    jobs.add_workers('desk', 2)
+    first, second = await jobs.start_all(2)
+    handed_in = job(steps=(step(tasks=3), step(tasks=2, after=(0,))))
+    for entry in (first, second):
+        await jobs.submit(entry, handed_in)
+    await jobs.until_state(JobState.completed, handed_in)
+    assert jobs.world.steps_started() == [0, 0, 0, 1, 1]
+    assert not jobs.world.faults()
+
+
+async def test_scheduler_is_killed(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Its successor finds what runs, and starts nothing a second time."""
+    jobs.add_workers('desk', 2)
+    await jobs.start_all(3)
+    work = [job(f'job-{number}') for number in range(6)]
+    for handed_in in work:
+        await jobs.submit(jobs.other('desk'), handed_in)
+    await trio.sleep(0.2)
+    jobs.kill(jobs.owner('desk'))
+    await jobs.until(jobs.owned)
+    await jobs.until_state(JobState.completed, *work)
+    assert len(jobs.world.started) == 12
+    assert not jobs.world.faults()
+
+
+async def test_recorded_runs_at_a_worker_that_is_gone(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """A successor waits their leases out, then starts the tasks again."""
+    jobs.add_workers('desk', 1, room=Room(2_000, 16_384))
+    await jobs.start_all(2)
+    handed_in = job()
+    await jobs.submit(jobs.other('desk'), handed_in)
+    await jobs.until(lambda: len(jobs.world.started) == 2)
+    gone = jobs.worker_on('desk-vm-1')
+    jobs.world.crash(gone)
+    jobs.site.workers.pop(gone)
+    jobs.kill(jobs.owner('desk'))
+    jobs.add_vm('desk-vm-2', 'desk')
+    await jobs.until_state(JobState.completed, handed_in)
+    assert len(jobs.world.started) == 4
+    assert not jobs.world.faults()
+
+
+async def test_cancelled_while_nobody_owns_the_service(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """A successor stops what an earlier scheduler has started."""
+    jobs.add_workers('desk', 1)
+    await jobs.start_all(2)
+    lasting = job(steps=(step(long_running=True),))
+    await jobs.submit(jobs.other('desk'), lasting)
+    await jobs.until(lambda: len(jobs.world.started) == 2)
+    jobs.kill(jobs.owner('desk'))
+    await jobs.cancel(lasting)
+    await jobs.until(jobs.owned)
+    await jobs.until_state(JobState.cancelled, lasting)
+    (sim,) = jobs.world.lives.values()
+    await jobs.until(lambda: not sim.running)
+
+
+async def test_answers_of_starts_are_lost(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """What has started is found; nothing is started twice."""
+    jobs.add_workers('desk', 2)
+    (entry,) = await jobs.start_all(1)
+    jobs.world.lose_answers = 3
+    handed_in = job(steps=(step(tasks=6),))
+    await jobs.submit(entry, handed_in)
+    await jobs.until_state(JobState.completed, handed_in)
+    assert len(jobs.world.started) == 6
+    assert not jobs.world.faults()
+
+
+async def test_starts_are_carried_out_late(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """An order that comes after all is refused, for it was stopped."""
+    jobs.add_workers('desk', 2)
+    (entry,) = await jobs.start_all(1)
+    jobs.world.late_orders = [1_000, 3_000]
+    handed_in = job(steps=(step(tasks=4),))
+    await jobs.submit(entry, handed_in)
+    await jobs.until_state(JobState.completed, handed_in)
+    await trio.sleep(5)
+    assert len(jobs.world.started) == 4
+    assert not jobs.world.faults()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,32 +12,17 @@
 from trio.testing import MockClock
 
 from cyclamenshift.errors import ProtocolError
-from cyclamenshift.fleetmessages import PoolReport, Vacate, Vacated, VmLoad
-from cyclamenshift.job import NOTHING, JobState
-from cyclamenshift.jobmessages import (
-    CountAnswer,
-    CountQuery,
-    Holding,
-    Holdings,
-    JobCancelled,
-    JobStored,
-    StateAnswer,
-    StateQuery,
-)
 from cyclamenshift.model import Done, NotRun, Outcome, Reason, Unknown
 from cyclamenshift.forwarding import (
     AnswerDone,
     AnswerNotRun,
     AnswerUnknown,
-    Forward,
     answer,
     outcome_of,
 )
-from cyclamenshift.news import Loads, Versions
 from cyclamenshift.peer import (
     BODIES,
     Ask,
-    Body,
     Greeting,
     Heartbeat,
     Leaving,
@@ -49,31 +34,13 @@
 )
 from cyclamenshift.peers.frames import TAGS, Decoder, encode
 
-from .builders import job, request
-from .builders import load as pool_load
+from .builders import request
+from .examples import EXAMPLES
 from .standins.fakes import Cluster, Entry
 
 #: The heartbeat of the default settings, ms.
 HEARTBEAT_MS = 500
 
-EXAMPLES: tuple[Body, ...] = (
-    Forward('id', 'desk', 'look-up', b'\x00\xff', 'text/plain', 9, True, ''),
-    AnswerDone(200, 'text/plain', b'\x00body'),
-    AnswerNotRun(Reason.refused, 'remedy', 5),
-    AnswerUnknown(Reason.answer_lost, 'remedy'),
-    Loads((pool_load(), pool_load(pool='spare'))),
-    Versions(3, 17),
-    Holdings((Holding('desk', 3),)),
-    JobStored('desk', job()),
-    JobCancelled('desk', 'job-1'),
-    StateQuery('desk', 'job-1'),
-    StateAnswer(True, 'checks', JobState.running),
-    CountQuery('desk', 'checks'),
-    CountAnswer(True, 7),
-    PoolReport('desk', 3, (VmLoad('vm-1', NOTHING, 2, 1),), NOTHING),
-    Vacate('desk', 'vm-1', 900),
-    Vacated(True),
-)
 MESSAGES: tuple[Message, ...] = (
     Greeting(1, 'entry-1', 'first'),
     Heartbeat(EXAMPLES),
