Acknowledge an end only when it is recorded; look before taking a domain

Change: an end seen before still waits for its job's record; a lost peer is dialled again before it counts as gone; incarnations sort by their start; a holder never seen gets time to be seen; a first start waits for all. Seen failing first: test_ends_listed_twice_before_they_are_recorded.

--- a/cyclamenshift/controls/membership.py
+++ b/cyclamenshift/controls/membership.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from ..clock import Clock
 from ..component import Dump, Host
 from ..control import Control
 from ..errors import ProtocolError
@@ -46,7 +47,7 @@
             data_centre=entry['data_centre'],
             host=listen['host'],
             port=listen['port'],
-            incarnation=uuid.uuid4().hex,
+            incarnation=_new_incarnation(self.clock),
             size=entry['size'],
         )
         self.registered: dict[str, EntryVm] = {}
@@ -134,3 +135,9 @@
             self.version = result.version
         else:
             self.log.warning('Not registered yet: %s.', type(result).__name__)
+
+
+def _new_incarnation(clock: Clock) -> str:
+    """Return a name for this process that sorts after earlier ones."""
+    started = f'{clock.wall():013}'
+    return f'{started}-{uuid.uuid4().hex}'
--- a/cyclamenshift/controls/ownership.py
+++ b/cyclamenshift/controls/ownership.py
@@ -16,11 +16,12 @@
 from ..component import Dump, Host
 from ..control import Control
 from ..decisions.membership import live_members
-from ..decisions.owners import Held, assign
+from ..decisions.owners import Claim, Held, assign, may_take
 from ..directory import Directory
 from ..duty import Duty, Tenure
 from ..jobmessages import Holding, Holdings
 from ..jobrows import OwnerRow, owner_key
+from ..model import EntryVm
 from ..peer import Body, NoReply, Peer, Reporter
 from ..plugin import register
 from ..rows import typed
@@ -46,8 +47,9 @@
 RANK_DELAY_MS = 400
 #: The wait before a write whose answer was lost is looked at, ms.
 READ_BACK_MS = 100
-#: How long a live holder that does not tell of its domain is waited for, ms.
-SILENT_HOLDER_MS = 1_500
+#: How long a new process waits before it takes a domain that nobody ever
+#: had, ms: all processes of a first start are there by then.
+FIRST_START_MS = 1_500
 
 #: Nobody owns the domain, as far as is known here.
 NO_OWNER = NoReply(sent=False, reason='no owner')
@@ -73,6 +75,7 @@
         self.told: dict[str, dict[str, int]] = {}
         self.vacant_since: dict[str, int] = {}
         self.taking: set[str] = set()
+        self.epochs: dict[str, tuple[int, int]] = {}
         self.started_at = self.clock.now()
         self.peer.listen_to(Holdings, self._take_holdings)
         self.peer.report(self._news)
@@ -83,11 +86,11 @@
         """Return the id of the entry VM that owns *domain*, if known."""
         if domain in self.tenures:
             return self.membership.own.entry_id
-        reachable = self.peer.reachable()
+        alive = self.peer.alive()
         owners = [
             (held[domain], entry_id)
             for entry_id, held in self.told.items()
-            if domain in held and entry_id in reachable
+            if domain in held and entry_id in alive
         ]
         return max(owners)[1] if owners else None
 
@@ -115,6 +118,7 @@
         """Look at the owners again and again."""
         async with trio.open_nursery() as nursery:
             task_status.started()
+            nursery.start_soon(self._read_epochs)
             while True:
                 self._look(nursery)
                 with self.clock.move_on_after(LOOK_MS):
@@ -139,10 +143,12 @@
 
     def _take_holdings(self, entry_id: str, told: Holdings) -> None:
         self.told[entry_id] = dict(told.held)
+        for domain, epoch in told.held:
+            self._note_epoch(domain, epoch)
         self._wake.set()
 
     def _notice_peer(self, entry_id: str) -> None:
-        if entry_id not in self.peer.reachable():
+        if entry_id not in self.peer.alive():
             self.told.pop(entry_id, None)
         self._wake.set()
 
@@ -171,11 +177,9 @@
     def _mine(self, vacant: set[str]) -> list[str]:
         """Return the vacant domains that it is this entry VM's turn to take."""
         now = self.clock.now()
-        if now - self.started_at < SETTLE_MS:
-            return []
         members = live_members(
             self.membership.registered,
-            self.peer.reachable(),
+            self.peer.alive(),
             self.membership.own,
         )
         own_id = self.membership.own.entry_id
@@ -184,10 +188,16 @@
         return [
             domain
             for domain, order in ranked.items()
-            if now - self.vacant_since[domain]
-            >= order.index(own_id) * RANK_DELAY_MS
+            if now
+            >= self._vacant_from(domain) + order.index(own_id) * RANK_DELAY_MS
         ]
 
+    def _vacant_from(self, domain: str) -> int:
+        """Return since when *domain* could have been taken, monotonic ms."""
+        epoch, _since = self.epochs.get(domain, (0, 0))
+        settle = SETTLE_MS if epoch else FIRST_START_MS
+        return max(self.vacant_since[domain], self.started_at + settle)
+
     async def _hold(self, domain: str, duty: Duty) -> None:
         try:
             tenure = await self._acquire(domain)
@@ -214,7 +224,9 @@
         key = owner_key(domain)
         asked_at = self.clock.now()
         rows = await self.store.read([key])
-        if isinstance(rows, Unavailable) or self._is_held(domain, rows[0]):
+        if isinstance(rows, Unavailable):
+            return None
+        if not self._may_take(domain, rows[0]):
             return None
         epoch = 0
         if rows[0].version != ABSENT:
@@ -241,16 +253,46 @@
                 return Tenure(domain, row, present.version, asked_at)
         return None
 
-    def _is_held(self, domain: str, row: Row) -> bool:
-        """Return whether a live peer may just not have told that it holds."""
+    async def _read_epochs(self) -> None:
+        """Learn which domains ever had an owner, once there are any."""
+        while self.directory.catalog is None:
+            await self.directory.changed()
+        domains = [
+            domain
+            for duty in self.duties
+            for domain in duty.domains(self.directory.catalog)
+        ]
+        rows = await self.store.read([owner_key(name) for name in domains])
+        if isinstance(rows, Unavailable):
+            return
+        for domain, row in zip(domains, rows, strict=True):
+            if row.version != ABSENT:
+                self._note_epoch(domain, typed(row, OwnerRow)['epoch'])
+
+    def _may_take(self, domain: str, row: Row) -> bool:
         if row.version == ABSENT:
-            return False
+            return True
         holder = typed(row, OwnerRow)
-        entry = self.membership.registered.get(holder['holder'])
-        alive = holder['holder'] in self.peer.reachable()
-        same = entry and entry.incarnation == holder['incarnation']
-        waited = self.clock.now() - self.vacant_since.get(domain, 0)
-        return bool(alive and same and waited < SILENT_HOLDER_MS)
+        self._note_epoch(domain, holder['epoch'])
+        entry_id = holder['holder']
+        return may_take(
+            Claim(
+                row=holder,
+                registered=self._registered(entry_id),
+                connected=entry_id in self.peer.reachable(),
+                known_for=self.clock.now() - self.epochs[domain][1],
+            ),
+        )
+
+    def _registered(self, entry_id: str) -> EntryVm | None:
+        if entry_id == self.membership.own.entry_id:
+            return self.membership.own
+        return self.membership.registered.get(entry_id)
+
+    def _note_epoch(self, domain: str, epoch: int) -> None:
+        known = self.epochs.get(domain)
+        if known is None or known[0] < epoch:
+            self.epochs[domain] = (epoch, self.clock.now())
 
 
 class HoldingsNews:
--- a/cyclamenshift/decisions/book.py
+++ b/cyclamenshift/decisions/book.py
@@ -216,7 +216,7 @@
     ) -> list[JobProgress]:
         attempt = self.at.get(life, {}).get(end.run)
         if attempt is None:
-            return []
+            return self._unrecorded(end)
         task = attempt.task
         task.checkpoint = checkpoint_of(end, task)
         counted = end.ending in COUNTED and not task.job.state.final
@@ -227,6 +227,13 @@
         self.remove(attempt)
         return [task.job] if counted else []
 
+    def _unrecorded(self, end: RunEnd) -> list[JobProgress]:
+        """Return the job of an end taken before, while that is not recorded."""
+        progress = self.jobs.get(end.run.task.job_id)
+        if progress is None or progress.recorded >= progress.generation:
+            return []
+        return [progress]
+
     def _take_status(self, life: Life, status: RunStatus, clock: int) -> bool:
         attempt = self.at.get(life, {}).get(status.run)
         if attempt is None:
--- a/cyclamenshift/decisions/owners.py
+++ b/cyclamenshift/decisions/owners.py
@@ -6,12 +6,20 @@
 """
 
 from collections.abc import Collection, Iterable, Mapping
-from typing import TypeAlias
+from typing import Final, NamedTuple, TypeAlias
 
 import xxhash
 
+from ..jobrows import OwnerRow
 from ..model import EntryVm
 
+#: How long a connected holder that does not tell of its domain is waited
+#: for, ms: several heartbeats.
+SILENT_HOLDER_MS: Final = 1_500
+#: How long a holder that was never seen to hold is waited for, ms: longer
+#: than it takes to connect to a new process.
+UNSEEN_HOLDER_MS: Final = 1_200
+
 #: The domains that each entry VM owns.
 Held: TypeAlias = Mapping[str, Collection[str]]
 
@@ -52,3 +60,35 @@
 
 def _weight(entry_id: str, domain: str) -> int:
     return xxhash.xxh64_intdigest(f'{entry_id}|{domain}'.encode())
+
+
+class Claim(NamedTuple):
+    """
+    What is known of the holder that a domain's row names.
+
+    ``registered`` is its entry VM as registered now, ``connected`` whether
+    that one is connected, ``known_for`` how long this epoch of the row has
+    been known here, ms.
+    """
+
+    row: OwnerRow
+    registered: EntryVm | None
+    connected: bool
+    known_for: int
+
+
+def may_take(claim: Claim) -> bool:
+    """
+    Return whether the row may be taken from its holder now.
+
+    A holder that was replaced by a newer process is gone.  One that was
+    known for long and is not connected any more counts as gone.  One that
+    has just become the holder gets time to be seen.
+    """
+    entry = claim.registered
+    if entry and entry.incarnation > claim.row['incarnation']:
+        return True
+    is_present = entry and entry.incarnation == claim.row['incarnation']
+    if claim.connected and is_present:
+        return claim.known_for >= SILENT_HOLDER_MS
+    return claim.known_for >= UNSEEN_HOLDER_MS
--- a/cyclamenshift/peer.py
+++ b/cyclamenshift/peer.py
@@ -122,6 +122,15 @@
     def reachable(self) -> set[str]:
         """Return the ids of the peers heard from lately, not leaving."""
 
+    @abc.abstractmethod
+    def alive(self) -> set[str]:
+        """
+        Return the ids of the peers that are connected, or were just lost.
+
+        A peer whose connection is lost counts until it was dialled again
+        in vain: a connection can be reset while both ends live.
+        """
+
     @abc.abstractmethod
     async def ask(
         self,
--- a/cyclamenshift/peers/link.py
+++ b/cyclamenshift/peers/link.py
@@ -34,6 +34,9 @@
 #: The wait before a lost peer is dialled again, ms.
 REDIAL_MS = 200
 
+#: How long opening a connection may take, ms.
+DIAL_MS = 500
+
 #: Opens a stream to a peer; raises OSError.
 Dialler: TypeAlias = Callable[[EntryVm], Awaitable[Stream]]
 
@@ -76,6 +79,7 @@
         self.leaving = False
         self.retired = False
         self.lost_count = 0
+        self.alive = False
 
     @property
     def usable(self) -> bool:
@@ -85,7 +89,12 @@
     async def keep(self) -> None:
         """Dial the peer again whenever its connection is lost."""
         while not self.retired:
-            await self._dial()
+            lost = await self._dial()
+            if lost:
+                continue
+            if self.alive:
+                self.alive = False
+                self.exchange.notice(self.entry.entry_id)
             await self.clock.sleep(REDIAL_MS)
 
     def retire(self) -> None:
@@ -117,12 +126,18 @@
         self.connection.post(Tell(told))
         return True
 
-    async def _dial(self) -> None:
+    async def _dial(self) -> bool:
+        """Use one connection; return whether there was one that got lost."""
+        lost_before = self.lost_count
         try:
-            with trio.fail_after(self.exchange.settings['silence'] / SECOND_MS):
+            with trio.fail_after(DIAL_MS / SECOND_MS):
                 stream = await self.dialler(self.entry)
         except (OSError, trio.TooSlowError):
-            return
+            return False
+        await self._serve(stream)
+        return self.lost_count > lost_before
+
+    async def _serve(self, stream: Stream) -> None:
         connection = self.exchange.connect(stream)
         try:
             async with connection:
@@ -144,6 +159,7 @@
                 self.entry,
             )
             self.connection = connection
+            self.alive = True
             self.leaving = self.retired
             self.exchange.log.info('Connected to %s.', self.entry.entry_id)
             self.exchange.notice(self.entry.entry_id)
--- a/cyclamenshift/peers/stream.py
+++ b/cyclamenshift/peers/stream.py
@@ -111,6 +111,14 @@
             entry_id for entry_id, link in self.links.items() if link.usable
         }
 
+    def alive(self) -> set[str]:
+        """Return the ids of the peers that were not dialled in vain."""
+        return {
+            entry_id
+            for entry_id, link in self.links.items()
+            if link.alive and not link.leaving
+        }
+
     async def ask(
         self,
         entry_id: str,
--- a/cyclamenshift/platform/settings.py
+++ b/cyclamenshift/platform/settings.py
@@ -28,6 +28,9 @@
 HORIZON_MS: Final = 7_000
 #: The same for the manager of the fleet, where the file does not say, ms.
 MANAGER_LEASE_MS: Final = 3_000
+#: How often peers show that they live, and when a silent one is lost, ms: a
+#: successor takes over well within the shortest lease.
+PEERS: Final = {'heartbeat': 250, 'silence': 800}
 #: The name of the adapter's plug-ins.
 NAME: Final = 'platform'
 
@@ -121,7 +124,7 @@
             'host': body['ip'],
             'port': body['portRange'][0],
         },
-        'peers': _listen(body, 'control'),
+        'peers': {**_listen(body, 'control'), **PEERS},
         'store': {'plugin': NAME, 'address': body['platform']['address']},
         'jobs': {
             'plugin': NAME,
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -32,6 +32,7 @@
     VmResult,
     VmUnanswered,
 )
+from cyclamenshift.scheduling.state import ServiceState
 from cyclamenshift.worker import Worker
 
 from ..builders import WALL_START, catalog, entry_settings, worker
@@ -294,6 +295,11 @@
             if service in entry.scheduler.schedulers
         )
 
+    def state(self, entry_id: str, service: str) -> ServiceState:
+        """Return what the scheduler of *service* knows."""
+        entry = self.entries[entry_id]
+        return entry.scheduler.schedulers[service].state
+
     def other(self, service: str) -> JobEntry:
         """Return an entry VM that does not schedule *service*."""
         return next(
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -203,6 +203,11 @@
             ended=tuple(sim.ended),
         )
 
+    def ends_listed(self) -> list[RunEnd]:
+        """Return the ends that are not acknowledged."""
+        self.let_time_pass()
+        return [end for sim in self.lives.values() for end in sim.ended]
+
     def steps_started(self) -> list[int]:
         """Return the step of each run, in the order of their starts."""
         return [started.run.task.step for started in self.started]
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -9,8 +9,10 @@
 from trio.testing import MockClock
 
 from cyclamenshift.job import JobState, Room
+from cyclamenshift.scheduling.keeper import Keeper
 
 from .builders import job, step
+from .standins.fakes import STORE_CALL_MS
 from .standins.jobs import JobCluster
 
 
@@ -21,7 +23,8 @@
     """Steps run in their order; the job is told as completed."""
     jobs.add_workers('desk', 2)
     first, second = await jobs.start_all(2)
-    handed_in = job(steps=(step(tasks=3), step(tasks=2, after=(0,))))
+    last = step(tasks=2, after=(0,))
+    handed_in = job(steps=(step(tasks=3), last))
     for entry in (first, second):
         await jobs.submit(entry, handed_in)
     await jobs.until_state(JobState.completed, handed_in)
@@ -85,6 +88,32 @@
     await jobs.until(lambda: not sim.running)
 
 
+async def test_ends_listed_twice_before_they_are_recorded(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """No end is acknowledged that a successor could not read."""
+    jobs.add_workers('desk', 1)
+    await jobs.start_all(2)
+    handed_in = job(steps=(step(tasks=1),))
+    await jobs.submit(jobs.other('desk'), handed_in)
+    await jobs.until(lambda: jobs.world.started)
+    owner = jobs.owner('desk')
+    state = jobs.state(owner, 'desk')
+    jobs.store.delay = 10_000
+    await jobs.until(jobs.world.ends_listed)
+    (station,) = state.stations.values()
+    for _look in range(3):
+        keeper = Keeper(state, station)
+        jobs.nursery.start_soon(keeper.renew, 0)
+        await trio.sleep(0.2)
+    assert jobs.world.ends_listed()
+    jobs.kill(owner)
+    jobs.store.delay = STORE_CALL_MS
+    await jobs.until_state(JobState.completed, handed_in)
+    assert not jobs.world.faults()
+
+
 async def test_answers_of_starts_are_lost(
     jobs: JobCluster,
     autojump_clock: MockClock,
