--- a/cyclamenshift/controls/claims.py
+++ b/cyclamenshift/controls/claims.py
@@ -138,7 +138,11 @@
         try:
             await self._claim(flight, runner, ABSENT)
         except ProtocolError as error:
-            self.log.error('%s: %s', flight.request.key, error)
+            self.log.error(
+                'A claim is not read.',
+                key=flight.request.key,
+                problem=str(error),
+            )
         finally:
             if not flight.ended.is_set():
                 flight.end(Unknown(Reason.answer_lost, claims.ASK_AGAIN))
@@ -266,4 +270,4 @@
             await self.clock.sleep(HELD_POLL_MS)
             result = await self.ledger.write(key, version, wanted)
         if isinstance(result, Rival):
-            self.log.error('The claim %s has moved.', flight.request.key)
+            self.log.error('A claim has moved.', key=flight.request.key)
--- a/cyclamenshift/controls/configuration.py
+++ b/cyclamenshift/controls/configuration.py
@@ -156,7 +156,7 @@
         try:
             await self._refresh()
         except ProtocolError as error:
-            self.log.error('%s', error)
+            self.log.error('A row is not read.', problem=str(error))
 
     async def apply(self, proposal: Proposal) -> InForce | Refused:
         """
@@ -213,17 +213,24 @@
         row = typed(head, HeadRow)
         body = await self.store.get_object(OBJECT_PREFIX + row['digest'])
         if isinstance(body, Unavailable):
-            self.log.warning('Configuration %s is not there.', row['number'])
+            self.log.warning(
+                'A configuration is not there.',
+                number=row['number'],
+            )
             return False
         try:
             texts = msgspec.json.decode(body, type=dict[str, str])
             self.in_force = fleets.check(texts)
         except (SettingsError, msgspec.MsgspecError) as error:
-            self.log.error('Configuration %s: %s', row['number'], error)
+            self.log.error(
+                'A configuration is wrong.',
+                number=row['number'],
+                problem=str(error),
+            )
             return False
         self.head = row
         self.head_version = head.version
-        self.log.info('Configuration %s is in force.', row['number'])
+        self.log.note('A configuration is in force.', number=row['number'])
         return True
 
     async def _read_vms(self, changes_version: int) -> bool:
--- a/cyclamenshift/controls/membership.py
+++ b/cyclamenshift/controls/membership.py
@@ -28,6 +28,9 @@
 from ..plugin import register
 from ..rows import ENTRY_TABLE, EntryRow, entry_key, typed
 
+#: Enough digits for the milliseconds since the epoch.
+WALL_DIGITS = 13
+
 
 @register
 class Membership(Control):
@@ -116,7 +119,7 @@
         try:
             fields = typed(row, EntryRow)
         except ProtocolError as error:
-            self.log.error('%s', error)
+            self.log.error('A registration is not read.', problem=str(error))
             return None
         return EntryVm(entry_id=row.key.name, **fields)
 
@@ -134,10 +137,13 @@
         if isinstance(result, Committed):
             self.version = result.version
         else:
-            self.log.warning('Not registered yet: %s.', type(result).__name__)
+            self.log.warning(
+                'Not registered yet.',
+                result=type(result).__name__,
+            )
 
 
 def _new_incarnation(clock: Clock) -> str:
     """Return a name for this process that sorts after earlier ones."""
-    started = f'{clock.wall():013}'
-    return f'{started}-{uuid.uuid4().hex}'
+    started = str(clock.wall()).zfill(WALL_DIGITS)
+    return started + uuid.uuid4().hex
--- a/cyclamenshift/controls/ownership.py
+++ b/cyclamenshift/controls/ownership.py
@@ -211,13 +211,21 @@
     async def _serve(self, tenure: Tenure, duty: Duty) -> None:
         self.tenures[tenure.domain] = tenure
         self.peer.hurry()
-        self.log.info('Owns %s, epoch %s.', tenure.domain, tenure.epoch)
+        self.log.note(
+            'Owns a domain.',
+            domain=tenure.domain,
+            epoch=tenure.epoch,
+        )
         with tenure.scope:
             await duty.serve(tenure)
         if self.tenures.get(tenure.domain) is tenure:
             self.tenures.pop(tenure.domain)
         self.peer.hurry()
-        self.log.info('Does not own %s any more.', tenure.domain)
+        self.log.note(
+            'Does not own a domain any more.',
+            domain=tenure.domain,
+            epoch=tenure.epoch,
+        )
 
     async def _acquire(self, domain: str) -> Tenure | None:
         """Take the row of *domain*; None if it is not to be had now."""
--- a/cyclamenshift/controls/pools.py
+++ b/cyclamenshift/controls/pools.py
@@ -169,7 +169,7 @@
         if isinstance(result, Uncertain):
             return await self._read_back(vm_id, planned.row)
         if isinstance(result, Committed):
-            self.log.info('%s is %s now.', vm_id, planned.row['state'])
+            self.log.note('A VM has changed.', vm=vm_id, **planned.row)
             return Changed(vm_id, planned.row)
         return STORE_DOWN if isinstance(result, Unavailable) else result
 
@@ -218,4 +218,6 @@
         if isinstance(result, Changed):
             self.leaving_since.pop((vm_id, vm.epoch), None)
         else:
-            self.log.warning('%s stays leaving: %s', vm_id, result)
+            self.log.warning(
+                'A VM stays leaving.', vm=vm_id, reason=result.reason
+            )
--- a/cyclamenshift/daemon.py
+++ b/cyclamenshift/daemon.py
@@ -141,13 +141,13 @@
         try:
             fresh = self.source.load(self.path)
         except CyclamenshiftError as error:
-            log.error('The settings are not read again: %s', error)
+            log.error('The settings are not read again.', problem=str(error))
             return
         changes = [
             '.'.join(change.path) for change in differences(self.chosen, fresh)
         ]
         self.chosen['jobs'].update(fresh['jobs'])
-        log.info('Read the settings again; changed: %s.', changes)
+        log.note('Read the settings again.', changed=changes)
 
     async def _run_kernel(
         self,
@@ -159,7 +159,7 @@
 
     async def _obey_signals(self, received: AsyncIterator[int]) -> None:
         async for number in received:
-            log.info('Received %s.', signal.Signals(number).name)
+            log.note('Received a signal.', signal=signal.Signals(number).name)
             if number == signal.SIGUSR1:
                 state = self.kernel.dump()
                 text = json.dumps(state, sort_keys=True, default=str)
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -106,7 +106,7 @@
 
     Tasks exist from when their step may begin.  ``generation`` grows with
     each change that has to be recorded; ``recorded`` is the one last
-    written, under ``version``.
+    written, under ``version``.  ``told`` tells whether the end was logged.
     """
 
     def __init__(self, job: Job, queue: Queue, version: int) -> None:
@@ -123,6 +123,7 @@
         self.generation = 0
         self.recorded = 0
         self.final_generation = 0
+        self.told = False
 
     @property
     def occurrences(self) -> int:
--- a/cyclamenshift/endpoints/http.py
+++ b/cyclamenshift/endpoints/http.py
@@ -108,7 +108,12 @@
         except NOT_SENT:
             return NotRun(Reason.unreachable, 'Try again; a worker is gone.')
         except httpx.HTTPError as error:
-            self.log.info('Lost the answer of %s: %r.', worker.vm_id, error)
+            self.log.note(
+                'An answer is lost.',
+                vm=worker.vm_id,
+                request=request.request_id,
+                problem=repr(error),
+            )
             return Unknown(Reason.answer_lost, ASK_KEY)
         return self._read(worker, request, response)
 
@@ -135,7 +140,11 @@
     ) -> Outcome:
         if response.headers.get(REQUEST_ID) != request.request_id:
             self.kernel.metrics.late_answers.inc({'from': worker.vm_id})
-            self.log.warning('%s gave a foreign answer.', worker.vm_id)
+            self.log.warning(
+                'A worker gave a foreign answer.',
+                vm=worker.vm_id,
+                request=request.request_id,
+            )
             return Unknown(Reason.answer_lost, ASK_KEY)
         refused = response.headers.get(REFUSED)
         unavailable = response.status_code == HTTPStatus.SERVICE_UNAVAILABLE
--- a/cyclamenshift/frontend.py
+++ b/cyclamenshift/frontend.py
@@ -94,7 +94,7 @@
                 server,
                 self._closed,
             )
-            self.log.info('Listening on %s.', ', '.join(self.addresses))
+            self.log.note('Listening.', addresses=self.addresses)
             task_status.started()
 
 
--- a/cyclamenshift/kernel.py
+++ b/cyclamenshift/kernel.py
@@ -9,10 +9,9 @@
 
 import trio
 
-from . import plugin
+from . import logs, plugin
 from .clock import Clock
 from .component import Component, ComponentType, Dump
-from .logs import get_logger
 from .metrics import Metrics
 from .settings import Settings
 
@@ -28,7 +27,10 @@
     'platform',
 )
 
-log = get_logger('kernel')
+#: How often what a slow reader of the log had not taken is written, ms.
+FLUSH_MS = 500
+
+log = logs.get_logger('kernel')
 
 
 class Kernel:
@@ -79,14 +81,19 @@
     ) -> None:
         """Run every component until a stop is asked for, then drain."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._flush_logs)
             for component in self.components:
                 await nursery.start(component.run)
-            log.info('Every component has started.')
+            log.note(
+                'Started.',
+                entry=self.settings['entry']['id'],
+                work=self.settings['entry']['work'],
+            )
             task_status.started()
             await self.stop_asked.wait()
             await self._drain()
             nursery.cancel_scope.cancel()
-        log.info('Stopped.')
+        log.note('Stopped.')
 
     def dump(self) -> Dump:
         """Return the state of every component by its name."""
@@ -94,10 +101,15 @@
             component.name: component.dump() for component in self.components
         }
 
+    async def _flush_logs(self) -> None:
+        while True:
+            await self.clock.sleep(FLUSH_MS)
+            logs.flush()
+
     async def _drain(self) -> None:
         self.draining = True
         grace = self.settings['entry']['grace']
-        log.info('Stopping; at most %s ms for work in flight.', grace)
+        log.note('Stopping.', grace_ms=grace)
         with self.clock.move_on_after(grace) as scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._cancel_when_hurried, scope)
--- a/cyclamenshift/managing/manager.py
+++ b/cyclamenshift/managing/manager.py
@@ -81,7 +81,10 @@
             asked_at = self.clock.now()
             vms = await self.state.provider.list_vms()
             if isinstance(vms, VmUnanswered):
-                self.state.log.warning('The VMs are not listed: %s.', vms)
+                self.state.log.warning(
+                    'The VMs are not listed.',
+                    reason=vms.reason,
+                )
             else:
                 self.state.take_list(vms, asked_at)
             await self.clock.sleep(LIST_MS)
--- a/cyclamenshift/managing/orders.py
+++ b/cyclamenshift/managing/orders.py
@@ -52,10 +52,15 @@
     order = partial(state.provider.move, vm.vm_id, pool, state.authority)
     result = await _order(state, order)
     if isinstance(result, VmAccepted):
-        state.log.info('%s moves from %s to %s.', vm.vm_id, vm.pool, pool)
+        state.log.note('A VM moves.', vm=vm.vm_id, pool=vm.pool, to=pool)
         state.vms[vm.vm_id] = vm._replace(pool=pool)
     elif result is not None:
-        state.log.warning('%s does not move: %s.', vm.vm_id, result.reason)
+        state.log.warning(
+            'A VM does not move.',
+            vm=vm.vm_id,
+            to=pool,
+            reason=result.reason,
+        )
         if result.reason is VmRefusal.impossible:
             state.impossible.add((vm.vm_id, pool))
 
@@ -95,9 +100,18 @@
     )
     result = await _order(state, order)
     if not isinstance(result, VmAccepted):
-        state.log.warning('%s is not maintained: %s.', vm_id, result)
+        state.log.warning(
+            'A VM is not maintained.',
+            vm=vm_id,
+            maintenance=number,
+            result=result,
+        )
         return False
-    state.log.info('%s is down for maintenance %s.', vm_id, number)
+    state.log.note(
+        'A VM is down for maintenance.',
+        vm=vm_id,
+        maintenance=number,
+    )
     state.down[vm_id] = state.clock.now()
     await state.done.record(number, vm_id)
     return True
--- a/cyclamenshift/peers/link.py
+++ b/cyclamenshift/peers/link.py
@@ -143,10 +143,18 @@
             async with connection:
                 await self._use(connection)
         except* LOST:
-            self.exchange.log.info('Lost %s.', self.entry.entry_id)
+            self.exchange.log.note(
+                'Lost a peer.',
+                peer=self.entry.entry_id,
+                silent_ms=self.clock.now() - connection.heard_at,
+            )
         except* ProtocolError as errors:
             for error in errors.exceptions:
-                self.exchange.log.error('%s', error)
+                self.exchange.log.error(
+                    'A peer is not understood.',
+                    peer=self.entry.entry_id,
+                    problem=str(error),
+                )
         finally:
             self._lose()
 
@@ -161,7 +169,10 @@
             self.connection = connection
             self.alive = True
             self.leaving = self.retired
-            self.exchange.log.info('Connected to %s.', self.entry.entry_id)
+            self.exchange.log.note(
+                'Connected to a peer.',
+                peer=self.entry.entry_id,
+            )
             self.exchange.notice(self.entry.entry_id)
             nursery.start_soon(self._beat, connection)
             while True:
@@ -205,5 +216,5 @@
         self.leaving = True
         if self.connection:
             self.connection.post(LeavingSeen())
-        self.exchange.log.info('%s is leaving.', self.entry.entry_id)
+        self.exchange.log.note('A peer leaves.', peer=self.entry.entry_id)
         self.exchange.notice(self.entry.entry_id)
--- a/cyclamenshift/peers/stream.py
+++ b/cyclamenshift/peers/stream.py
@@ -90,7 +90,7 @@
             self.log.debug('A peer has closed its connection.')
         except* ProtocolError as errors:
             for error in errors.exceptions:
-                self.log.error('%s', error)
+                self.log.error('A peer is not understood.', problem=str(error))
         finally:
             service.ended.set()
             self.services.discard(service)
--- a/cyclamenshift/platform/directory.py
+++ b/cyclamenshift/platform/directory.py
@@ -182,7 +182,9 @@
             self._refuse(row, body)
         elif self.present is None or body['version'] > self.present.version:
             self.present = catalog_of(body)
-            self.log.info('Configuration %s is in force.', body['version'])
+            self.log.note(
+                'A configuration is in force.', version=body['version']
+            )
 
     def _take_maintenance(self, row: Row) -> None:
         body = convert(row.fields, WaveBody)
@@ -222,7 +224,9 @@
         name = str(row.key)
         if self.unreadable.get(name) != fault.reason:
             self.unreadable[name] = fault.reason
-            self.log.warning('%s is not used: %s.', name, fault.reason)
+            self.log.warning(
+                'A row is not used.', row=name, reason=fault.reason
+            )
 
     def _tell(self) -> None:
         self._news.set()
--- a/cyclamenshift/platform/frontend.py
+++ b/cyclamenshift/platform/frontend.py
@@ -26,6 +26,8 @@
 
 #: What the ids of jobs look like.
 JOB_ID: Final = re.compile('[0-9a-f]{16}')
+#: The header that names a request.
+REQUEST_ID: Final = 'Request-Id'
 #: How long the caller waits, ms; from the header, less the way back.
 DEADLINE: Final = 'X-Deadline-Ms'
 DEFAULT_WAIT_MS: Final = 3_000
@@ -69,7 +71,10 @@
         request = quart.request
         target = self._target(request.host, request.path)
         if target is not None:
-            return await self._answer_for(target)
+            started = self.clock.now()
+            response = await self._answer_for(target)
+            self._log(target, response, self.clock.now() - started)
+            return response
         if request.path == '/v1/ready':
             return plain(self._readiness())
         if self.directory.catalog is None:
@@ -109,6 +114,19 @@
     ) -> Stored | NoSuchJob | Unavailable:
         return await self.desk.cancel(target.queue, target.rest, _wait())
 
+    def _log(self, target: Target, response: Response, took: int) -> None:
+        catalog = self.directory.catalog
+        self.log.note(
+            'Answered a caller.',
+            request=quart.request.headers.get(REQUEST_ID, ''),
+            method=quart.request.method,
+            queue=target.queue.name,
+            job=target.rest,
+            status=response.status_code,
+            took_ms=took,
+            version=catalog.version if catalog else None,
+        )
+
     def _target(self, host: str, path: str) -> Target | None:
         catalog = self.directory.catalog
         queues = catalog.queues.values() if catalog else ()
--- a/cyclamenshift/scheduling/keeper.py
+++ b/cyclamenshift/scheduling/keeper.py
@@ -85,10 +85,11 @@
         station.misses += 1
         self.state.book.doubt(station.worker.life)
         if station.misses == 1:
-            self.state.log.info(
-                '%s does not answer: %s.',
-                station.worker.worker_id,
-                reason,
+            self.state.log.note(
+                'A worker does not answer.',
+                worker=station.worker.worker_id,
+                reason=reason,
+                runs=len(self.state.book.runs_at(station.worker.life)),
             )
         if station.lease.over(self.clock.now()):
             self.state.expire(station)
--- a/cyclamenshift/scheduling/orders.py
+++ b/cyclamenshift/scheduling/orders.py
@@ -85,8 +85,15 @@
 
     @_take.register
     async def _take_accepted(self, result: Accepted) -> None:
-        self.station.lease.observe(result.clock, self.state.clock.now())
+        now = self.state.clock.now()
+        self.station.lease.observe(result.clock, now)
         self.state.book.accept(self.attempt, result.clock)
+        self.state.log.note(
+            'A run has started.',
+            run=self.attempt.run,
+            worker=self.attempt.life[0],
+            after_ms=now - self.attempt.since,
+        )
 
     @_take.register
     async def _take_refused(self, result: Refused) -> None:
@@ -107,11 +114,11 @@
             self.station.shun(self.state.clock.now() + UNHEALTHY_MS)
             self.state.fail(self.attempt, result.reason)
             return
-        self.state.log.info(
-            '%s: no answer from %s: %s.',
-            self.attempt.run,
-            self.station.worker.worker_id,
-            result.reason,
+        self.state.log.note(
+            'An order got no answer.',
+            run=self.attempt.run,
+            worker=self.station.worker.worker_id,
+            reason=result.reason,
         )
         if self.attempt.phase is Phase.ordered:
             self.attempt.phase = Phase.unsettled
--- a/cyclamenshift/scheduling/recorder.py
+++ b/cyclamenshift/scheduling/recorder.py
@@ -14,7 +14,7 @@
 from ..decisions.progress import JobProgress
 from ..duty import Tenure
 from ..jobrows import progress_key
-from ..logs import PrefixLogger
+from ..logs import PartLogger
 from ..store import (
     Check,
     Committed,
@@ -45,7 +45,7 @@
         store: Store,
         book: Book,
         clock: Clock,
-        log: PrefixLogger,
+        log: PartLogger,
     ) -> None:
         """Record the jobs in *book* under *tenure*."""
         self.tenure = tenure
@@ -102,7 +102,11 @@
             for progress in batch:
                 progress.version = versions[self._key(progress)]
             return
-        self.log.warning('Progress is not written: %s', result)
+        self.log.warning(
+            'Progress is not written.',
+            result=type(result).__name__,
+            jobs=len(batch),
+        )
         await self.clock.sleep(RETRY_MS)
 
     def _note(
@@ -112,6 +116,15 @@
         progress.recorded = generation
         if progress.generation == generation:
             self.book.dirty.pop(progress.job.job_id, None)
+        if progress.state.final and not progress.told:
+            progress.told = True
+            self.log.note(
+                'A job is final.',
+                job=progress.job.job_id,
+                queue=progress.job.queue,
+                state=progress.state,
+                took_ms=progress.ended - progress.job.accepted,
+            )
 
     def _transaction(self, batch: list[JobProgress]) -> Transaction:
         checks = [self.tenure.check()]
--- a/cyclamenshift/scheduling/rows.py
+++ b/cyclamenshift/scheduling/rows.py
@@ -45,7 +45,7 @@
                 if await self._read():
                     return
             except ProtocolError as error:
-                self.state.log.error('%s', error)
+                self.state.log.error('A row is not read.', problem=str(error))
             await self.clock.sleep(RETRY_MS)
 
     async def poll(self) -> None:
@@ -79,7 +79,11 @@
             found[table] = scanned
         self.state.tenure.confirm(asked_at)
         self._take_all(found)
-        self.state.log.info('Read %s jobs.', len(self.book.jobs))
+        self.state.log.note(
+            'Read the rows.',
+            jobs=len(self.book.jobs),
+            version=found[JOB_TABLE].version,
+        )
         return True
 
     def _take_all(self, found: dict[str, Snapshot]) -> None:
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -95,6 +95,15 @@
         """Bring the book in line with a report."""
         life = station.worker.life
         noted = self.book.take_report(life, report, self.clock.wall())
+        for end in report.ended:
+            if end.number > station.acknowledged:
+                self.log.note(
+                    'A run has ended.',
+                    run=end.run,
+                    worker=station.worker.worker_id,
+                    how=end.ending,
+                    number=end.number,
+                )
         if noted.strays:
             self.strays.setdefault(life, set()).update(noted.strays)
         self.wake()
@@ -138,9 +147,10 @@
             if waited_out or reborn:
                 lost = self.book.lose(life)
                 self.log.warning(
-                    '%s runs at %s are over: it is not registered.',
-                    len(lost),
-                    worker_id,
+                    'Runs are over.',
+                    worker=worker_id,
+                    reason='not registered any more',
+                    runs=[attempt.run for attempt in lost],
                 )
 
     async def keep_proof(self) -> None:
@@ -152,7 +162,12 @@
 
     def fail(self, attempt: Attempt, reason: str) -> None:
         """Note that an attempt never ran."""
-        self.log.info('%s did not start: %s.', attempt.run, reason)
+        self.log.note(
+            'A run did not start.',
+            run=attempt.run,
+            worker=attempt.life[0],
+            reason=reason,
+        )
         self.book.remove(attempt)
         self.wake()
 
@@ -172,9 +187,9 @@
         lost = self.book.lose(station.worker.life)
         if lost:
             self.log.warning(
-                '%s runs at %s are over: %s.',
-                len(lost),
-                station.worker.worker_id,
-                reason,
+                'Runs are over.',
+                worker=station.worker.worker_id,
+                reason=reason,
+                runs=[attempt.run for attempt in lost],
             )
             self.wake()
--- a/cyclamenshift/startup.py
+++ b/cyclamenshift/startup.py
@@ -88,8 +88,8 @@
         proposal = Proposal(texts, 0, uuid.uuid4().hex, FIRST_OPERATOR)
         result = await configuration.apply(proposal)
         if isinstance(result, InForce):
-            log.info('Applied the first configuration.')
+            log.note('Applied the first configuration.')
             return
-        log.warning('The first configuration waits: %s', result.reason)
+        log.warning('The first configuration waits.', reason=result.reason)
         await process.clock.sleep(OFFER_DELAY_MS)
         await configuration.refresh()
