Reach the store through a peer; start what can still be in time first

Change: StoreAccess lets a peer make the call, which is as safe there; waiting tasks go by priority, by what their job can still reach, and by slack; pools report what their tasks will take if jobs go on coming (Little's law). Seen failing first: test_owner_is_turned_away_by_the_store.

--- a/cyclamenshift/controls/claims.py
+++ b/cyclamenshift/controls/claims.py
@@ -70,7 +70,7 @@
 
     name = 'claims'
     works = frozenset(('requests',))
-    stage: ClassVar[int] = 3
+    stage: ClassVar[int] = 7
 
     def __init__(self, kernel: Host) -> None:
         """Start with no flight."""
--- a/cyclamenshift/controls/desk.py
+++ b/cyclamenshift/controls/desk.py
@@ -34,7 +34,7 @@
 )
 from ..plugin import register
 from ..rows import typed
-from ..store import ABSENT, Snapshot, Store, Unavailable
+from ..store import ABSENT, Snapshot, Unavailable, path_to_store
 from .ledger import Ledger, NotWritten, Rival, Written
 from .ownership import Ownership
 
@@ -78,12 +78,12 @@
 
     name = 'desk'
     works = frozenset(('jobs',))
-    stage: ClassVar[int] = 7
+    stage: ClassVar[int] = 9
 
     def __init__(self, kernel: Host) -> None:
         """Know the store, the owners and the peers."""
         super().__init__(kernel)
-        self.store = kernel.get(Store)
+        self.store = path_to_store(kernel)
         self.ledger = kernel.get(Ledger)
         self.directory = kernel.get(Directory)
         self.ownership = kernel.get(Ownership)
--- a/cyclamenshift/controls/ledger.py
+++ b/cyclamenshift/controls/ledger.py
@@ -20,11 +20,11 @@
     Conflict,
     Fields,
     Key,
-    Store,
     Row,
     Transaction,
     Uncertain,
     Write,
+    path_to_store,
 )
 from ..plugin import register
 
@@ -75,12 +75,12 @@
     """
 
     name = 'ledger'
-    stage: ClassVar[int] = 2
+    stage: ClassVar[int] = 6
 
     def __init__(self, kernel: Host) -> None:
         """Start with nothing to write."""
         super().__init__(kernel)
-        self.store = kernel.get(Store)
+        self.store = path_to_store(kernel)
         self.lanes: dict[str, deque[Entry]] = {}
         self.interval = kernel.settings['store']['claim_interval']
         self.next_at: dict[str, int] = {}
--- a/cyclamenshift/controls/ownership.py
+++ b/cyclamenshift/controls/ownership.py
@@ -31,11 +31,11 @@
     Committed,
     Conflict,
     Row,
-    Store,
     Transaction,
     Unavailable,
     Uncertain,
     Write,
+    path_to_store,
 )
 from .membership import Membership
 
@@ -61,12 +61,12 @@
 
     name = 'ownership'
     works = frozenset(('jobs',))
-    stage: ClassVar[int] = 6
+    stage: ClassVar[int] = 8
 
     def __init__(self, kernel: Host) -> None:
         """Own nothing; duties and peers are known."""
         super().__init__(kernel)
-        self.store = kernel.get(Store)
+        self.store = path_to_store(kernel)
         self.peer = kernel.get(Peer)
         self.membership = kernel.get(Membership)
         self.directory = kernel.get(Directory)
--- a/cyclamenshift/decisions/lending.py
+++ b/cyclamenshift/decisions/lending.py
@@ -25,8 +25,9 @@
     """
     A pool as the manager of the fleet sees it.
 
-    ``used`` and ``waiting`` are what its tasks have and want; ``empty``
-    names the VMs that run nothing.
+    ``used`` and ``waiting`` are what its tasks have and want, ``expected``
+    what they will take if jobs go on coming; ``empty`` names the VMs that
+    run nothing.
     """
 
     service: str
@@ -34,6 +35,7 @@
     vms: tuple[ProvidedVm, ...]
     used: Room
     waiting: Room
+    expected: Room
     empty: frozenset[str]
 
 
@@ -49,10 +51,10 @@
     if not pool.vms:
         return BUFFER
     room = pool.vms[0].room
-    wanted = pool.used.plus(pool.waiting)
+    present = pool.used.plus(pool.waiting)
     counts = (
-        -(-part * PERCENT // (size * FILL_PERCENT))
-        for part, size in zip(wanted, room, strict=True)
+        -(-max(now, soon) * PERCENT // (size * FILL_PERCENT))
+        for now, soon, size in zip(present, pool.expected, room, strict=True)
         if size
     )
     return max(counts) + BUFFER
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -12,6 +12,7 @@
 from ..directory import Queue
 from ..job import Ending, Job, JobState, RunEnd, RunId, Step, TaskId
 from ..jobrows import OpenRun, ProgressRow, TriedTask
+from .schedules import schedule_of
 
 #: The id of a worker and the start of its life.
 Life: TypeAlias = tuple[str, int]
@@ -115,6 +116,7 @@
         self.queue = queue
         self.state = JobState.queued
         self.begun = False
+        self.schedule = schedule_of(job, queue)
         self.steps: dict[tuple[int, int], list[Task]] = {}
         self.finished: set[int] = set()
         self.next_occurrence = 0
--- a/cyclamenshift/directory.py
+++ b/cyclamenshift/directory.py
@@ -90,7 +90,7 @@
 
     kind = 'directory'
     works = frozenset(('jobs',))
-    stage: ClassVar[int] = 2
+    stage: ClassVar[int] = 6
 
     @property
     @abc.abstractmethod
--- a/cyclamenshift/duty.py
+++ b/cyclamenshift/duty.py
@@ -80,7 +80,7 @@
 
     kind = 'duty'
     works = frozenset(('jobs',))
-    stage: ClassVar[int] = 5
+    stage: ClassVar[int] = 7
 
     @abc.abstractmethod
     def domains(self, catalog: Catalog) -> Iterable[str]:
--- a/cyclamenshift/fleetmessages.py
+++ b/cyclamenshift/fleetmessages.py
@@ -26,12 +26,18 @@
 
 @body
 class PoolReport(NamedTuple):
-    """What a service's pool does, and what its waiting tasks ask for."""
+    """
+    What a service's pool does.
+
+    ``waiting`` is what its waiting tasks ask for, ``expected`` what its
+    tasks will take if jobs go on coming as they do now.
+    """
 
     service: str
     epoch: int
     vms: tuple[VmLoad, ...]
     waiting: Room
+    expected: Room
 
 
 @body
--- a/cyclamenshift/frontend.py
+++ b/cyclamenshift/frontend.py
@@ -30,7 +30,7 @@
     """An HTTP server: a quart application on hypercorn's trio worker."""
 
     kind = 'frontend'
-    stage: ClassVar[int] = 8
+    stage: ClassVar[int] = 10
 
     def __init__(self, kernel: Host) -> None:
         """Create the application; listen when run."""
--- a/cyclamenshift/managing/log.py
+++ b/cyclamenshift/managing/log.py
@@ -16,7 +16,7 @@
     Check,
     Committed,
     Conflict,
-    Store,
+    StorePath,
     Transaction,
     Unavailable,
     Write,
@@ -29,7 +29,7 @@
 class MaintenanceLog:
     """One row for each maintenance, written by the manager of the fleet."""
 
-    def __init__(self, clock: Clock, store: Store, tenure: Tenure) -> None:
+    def __init__(self, clock: Clock, store: StorePath, tenure: Tenure) -> None:
         """Start with nothing read."""
         self.clock = clock
         self.store = store
--- a/cyclamenshift/managing/manager.py
+++ b/cyclamenshift/managing/manager.py
@@ -63,6 +63,7 @@
         known = self.state.reports.get(report.service)
         if known is None or report.epoch >= known.epoch:
             self.state.reports[report.service] = report
+            self.state.wake()
 
     def dump(self) -> Dump:
         """Return the VMs by pool and what is being done."""
--- a/cyclamenshift/managing/state.py
+++ b/cyclamenshift/managing/state.py
@@ -20,7 +20,7 @@
 from ..logs import get_logger
 from ..provider import Authority, ProvidedVm, VmPhase, VmProvider
 from ..rows import typed
-from ..store import Row, Store, Unavailable
+from ..store import Row, Unavailable, path_to_store
 from .log import MaintenanceLog
 
 #: The wait before a call of the store that failed is tried again, ms.
@@ -37,7 +37,7 @@
         self.clock = kernel.clock
         self.tenure = tenure
         self.log = get_logger('fleet')
-        self.store = kernel.get(Store)
+        self.store = path_to_store(kernel)
         self.provider = kernel.get(VmProvider)
         self.directory = kernel.get(Directory)
         holder = kernel.settings['entry']['id']
@@ -122,6 +122,7 @@
             vms=tuple(vms),
             used=total([load.used for load in report.vms]),
             waiting=report.waiting,
+            expected=report.expected,
             empty=frozenset(vm.vm_id for vm in vms) - running,
         )
 
@@ -132,4 +133,4 @@
 
 def no_report(service: str) -> PoolReport:
     """Return what counts where a scheduler has not reported."""
-    return PoolReport(service, epoch=0, vms=(), waiting=NOTHING)
+    return PoolReport(service, 0, (), NOTHING, NOTHING)
--- a/cyclamenshift/platform/directory.py
+++ b/cyclamenshift/platform/directory.py
@@ -21,10 +21,10 @@
     Key,
     Row,
     Snapshot,
-    Store,
     Transaction,
     Unavailable,
     Write,
+    path_to_store,
 )
 from ..worker import Worker
 from .configuration import (
@@ -71,7 +71,7 @@
     def __init__(self, kernel: Host) -> None:
         """Know nothing yet."""
         super().__init__(kernel)
-        self.store = kernel.get(Store)
+        self.store = path_to_store(kernel)
         self.present: Catalog | None = None
         self.registered: dict[str, Worker] = {}
         self.requested: dict[int, Maintenance] = {}
--- a/cyclamenshift/scheduling/recorder.py
+++ b/cyclamenshift/scheduling/recorder.py
@@ -21,7 +21,7 @@
     CommitResult,
     Conflict,
     Key,
-    Store,
+    StorePath,
     Transaction,
     Write,
 )
@@ -42,7 +42,7 @@
     def __init__(
         self,
         tenure: Tenure,
-        store: Store,
+        store: StorePath,
         book: Book,
         clock: Clock,
         log: PartLogger,
--- a/cyclamenshift/scheduling/reporting.py
+++ b/cyclamenshift/scheduling/reporting.py
@@ -15,26 +15,31 @@
 from .state import ServiceState
 from .station import Station
 
-#: How often the pool is reported where something has changed, ms.
-CHANGED_MS: Final = 150
-#: How often it is reported in any case, in multiples of that.
-ALWAYS_EVERY: Final = 7
+#: The least time between two reports, ms: a burst is told at once, but the
+#: manager is not flooded.
+GAP_MS: Final = 60
+#: The longest time between two reports, ms.
+LONGEST_MS: Final = 1_000
 
 
 async def report_pool(
     state: ServiceState,
     tell: Callable[[PoolReport], None],
 ) -> None:
-    """Report the pool again and again, until cancelled."""
+    """Report the pool whenever it changes, until cancelled."""
     told: PoolReport | None = None
-    rounds = 0
+    told_at = state.clock.now()
     while True:
         report = pool_report(state)
-        if report != told or rounds % ALWAYS_EVERY == 0:
+        now = state.clock.now()
+        if report != told or now - told_at >= LONGEST_MS:
             tell(report)
             told = report
-        rounds += 1
-        await state.clock.sleep(CHANGED_MS)
+            told_at = now
+        changed = state.changed
+        await state.clock.sleep(GAP_MS)
+        with state.clock.move_on_after(LONGEST_MS):
+            await changed.wait()
 
 
 def pool_report(state: ServiceState) -> PoolReport:
@@ -50,6 +55,7 @@
         waiting=total(
             [room_of(task.step) for task in state.book.waiting.values()],
         ),
+        expected=state.arrivals.demand(state.clock.now()),
     )
 
 
--- a/cyclamenshift/scheduling/rows.py
+++ b/cyclamenshift/scheduling/rows.py
@@ -59,6 +59,7 @@
         """Take a job that was stored."""
         queue = self._queue(job.queue)
         if queue and self.book.add(job, queue, self.clock.wall()):
+            self.state.arrivals.add(job, self.clock.now())
             self.state.wake()
 
     def cancel(self, job_id: str) -> None:
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -12,7 +12,8 @@
 
 from ..component import Dump, Host
 from ..decisions.placement import Bench, place
-from ..decisions.progress import Life, Phase, Task
+from ..decisions.urgency import most_urgent_first
+from ..decisions.progress import Life, Phase
 from ..directory import Directory
 from ..duty import Tenure
 from ..fleetmessages import PoolReport
@@ -159,7 +160,11 @@
             return
         now = self.clock.now()
         benches = self._benches(now)
-        for placement in place(self._urgent_first(), benches):
+        urgent = most_urgent_first(
+            self.book.waiting.values(),
+            self.clock.wall(),
+        )
+        for placement in place(urgent, benches):
             task = placement.task
             attempt = self.book.plan(
                 task,
@@ -181,12 +186,6 @@
             if station.usable(now)
         }
 
-    def _urgent_first(self) -> list[Task]:
-        return sorted(
-            self.book.waiting.values(),
-            key=lambda task: (task.job.queue.priority, task.job.job.accepted),
-        )
-
     def _stop_surplus(self, nursery: trio.Nursery) -> None:
         for run, attempt in tuple(self.book.surplus.items()):
             station = self.state.stations.get(attempt.life)
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -11,6 +11,7 @@
 import trio
 
 from ..component import Host
+from ..decisions.arrivals import Arrivals
 from ..decisions.book import Book, Noted
 from ..decisions.leases import Lease, slowest
 from ..decisions.progress import Attempt, Life
@@ -19,7 +20,7 @@
 from ..jobrows import OwnerRow
 from ..logs import get_logger
 from ..rows import typed
-from ..store import Store, Unavailable
+from ..store import Unavailable, path_to_store
 from ..worker import Report, Worker, WorkerClient
 from .recorder import Recorder
 from .station import Station
@@ -39,12 +40,12 @@
         self.kernel = kernel
         self.clock = kernel.clock
         self.tenure = tenure
-        self.service = tenure.domain
         self.settings = kernel.settings['jobs']
         self.log = get_logger(f'scheduler.{self.service}')
-        self.store = kernel.get(Store)
+        self.store = path_to_store(kernel)
         self.client = kernel.get(WorkerClient)
         self.book = Book()
+        self.arrivals = Arrivals()
         self.recorder = Recorder(
             tenure,
             self.store,
@@ -57,6 +58,11 @@
         self.started_at = self.clock.now()
         self.changed = trio.Event()
 
+    @property
+    def service(self) -> str:
+        """The service that is scheduled."""
+        return self.tenure.domain
+
     def wake(self) -> None:
         """Let the tasks that place and stop look again."""
         self.changed.set()
--- a/cyclamenshift/store.py
+++ b/cyclamenshift/store.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, ClassVar, NamedTuple, TypeAlias
 
-from .component import Component
+from .component import Component, Host
 
 #: The fields of a row: plain values only.
 Fields: TypeAlias = Mapping[str, Any]
@@ -108,16 +108,13 @@
     """The changes asked for are no longer kept; scan instead."""
 
 
-class Store(Component):
+class StorePath(Component):
     """
-    A client of the store.
+    A way to the store.
 
     Reads answer Unavailable when the store can't be reached in time.
     """
 
-    kind = 'store'
-    stage: ClassVar[int] = 0
-
     @abc.abstractmethod
     async def read(self, keys: Sequence[Key]) -> list[Row] | Unavailable:
         """Return one row for each key, in that order."""
@@ -144,6 +141,13 @@
     async def commit(self, transaction: Transaction) -> CommitResult:
         """Apply *transaction* whole, or not at all."""
 
+
+class Store(StorePath):
+    """A client of the store."""
+
+    kind = 'store'
+    stage: ClassVar[int] = 0
+
     @abc.abstractmethod
     async def put_object(self, name: str, body: bytes) -> bool:
         """Store *body*; return whether it is certainly there."""
@@ -151,3 +155,8 @@
     @abc.abstractmethod
     async def get_object(self, name: str) -> bytes | Unavailable:
         """Return the object, or Unavailable if it can't be had."""
+
+
+def path_to_store(host: Host) -> StorePath:
+    """Return the best way to the store that *host* has."""
+    return host.every(StorePath)[-1]
--- a/tests/examples.py
+++ b/tests/examples.py
@@ -26,9 +26,33 @@
 from cyclamenshift.model import Reason
 from cyclamenshift.news import Loads, Versions
 from cyclamenshift.peer import Body
+from cyclamenshift.store import (
+    Check,
+    Committed,
+    Conflict,
+    HistoryLost,
+    Key,
+    Row,
+    Snapshot,
+    Transaction,
+    Unavailable,
+    Uncertain,
+    Write,
+)
+from cyclamenshift.storemessages import (
+    CommitCall,
+    FollowCall,
+    ReadCall,
+    RowsAnswer,
+    ScanCall,
+    StoreReach,
+)
 
 from . import builders
 
+KEY = Key('job', 'job-1', 'desk')
+ROW = Row(KEY, 7, {'a': 1})
+
 EXAMPLES: tuple[Body, ...] = (
     Forward('id', 'desk', 'look-up', b'\x00\xff', 'text/plain', 9, True, ''),
     AnswerDone(200, 'text/plain', b'\x00body'),
@@ -43,7 +67,19 @@
     StateAnswer(True, 'checks', JobState.running),
     CountQuery('desk', 'checks'),
     CountAnswer(True, 7),
-    PoolReport('desk', 3, (VmLoad('vm-1', NOTHING, 2, 1),), NOTHING),
+    PoolReport('desk', 3, (VmLoad('vm-1', NOTHING, 2, 1),), NOTHING, NOTHING),
     Vacate('desk', 'vm-1', 900),
     Vacated(True),
+    StoreReach(True),
+    ReadCall((KEY,)),
+    ScanCall('job', 'desk'),
+    FollowCall('job', 7, 900),
+    CommitCall(Transaction((Check(KEY, 7),), (Write(KEY, {'a': 1}),))),
+    RowsAnswer((ROW,)),
+    Snapshot((ROW,), 9),
+    HistoryLost(),
+    Committed(8),
+    Conflict((ROW,)),
+    Unavailable('down'),
+    Uncertain('silent'),
 )
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -143,3 +143,22 @@
     await trio.sleep(5)
     assert len(jobs.world.started) == 4
     assert not jobs.world.faults()
+
+
+async def test_owner_is_turned_away_by_the_store(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """It goes on through a peer; nobody takes its service over."""
+    jobs.add_workers('desk', 2)
+    await jobs.start_all(3)
+    owner = jobs.owner('desk')
+    epoch = jobs.state(owner, 'desk').tenure.epoch
+    jobs.store.cut_off.add(owner)
+    work = [job(f'job-{number}') for number in range(3)]
+    for handed_in, entry in zip(work, jobs.entries.values(), strict=True):
+        await jobs.submit(entry, handed_in)
+    await jobs.until_state(JobState.completed, *work)
+    await trio.sleep(12)
+    assert jobs.state(owner, 'desk').tenure.epoch == epoch
+    assert not jobs.world.faults()
