Close callers' sockets after a last answer; settle lost writes with patience

Separately, a slow store was flooded: after a lost answer the ledger tried entries one by one, while the store runs a part's transactions in turn.

Change: answers are sent whole before the connection's task may be cancelled; the ledger tries the same batch again with a growing pause; the desk refuses at once while neither the store nor a peer that reaches it is there.

--- a/cyclamenshift/controls/access.py
+++ b/cyclamenshift/controls/access.py
@@ -76,6 +76,11 @@
         self.peer.answer(FollowCall, self._answer_follow)
         self.peer.answer(CommitCall, self._answer_commit)
 
+    @property
+    def usable(self) -> bool:
+        """Whether the store is reached from here, or through a peer."""
+        return self.reached or bool(self._relays())
+
     async def run(
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
--- a/cyclamenshift/controls/desk.py
+++ b/cyclamenshift/controls/desk.py
@@ -90,6 +90,8 @@
 
     async def submit(self, queue: Queue, job: Job, wait: int) -> SubmitResult:
         """Store *job*, within *wait* ms, and tell the owner of its service."""
+        if not self.store.usable:
+            return NotStored('the store can not be reached', RETRY_AFTER_MS)
         key = job_key(queue.service, job.job_id)
         result: Written | Rival | NotWritten | None = None
         with self.clock.move_on_after(wait):
--- a/cyclamenshift/controls/ledger.py
+++ b/cyclamenshift/controls/ledger.py
@@ -28,8 +28,10 @@
 )
 from ..plugin import register
 
-#: The wait before a lost answer is asked for again, ms.
+#: The wait before a lost answer is asked for again, ms, and how long it may
+#: grow: a slow store is not to be flooded.
 SETTLE_DELAY_MS = 100
+LONGEST_SETTLE_DELAY_MS = 400
 
 
 class Written(NamedTuple):
@@ -86,7 +88,6 @@
         self.next_at: dict[str, int] = {}
         self.batches = 0
         self.rows_written = 0
-        self.unsettled = 0
         self.nursery: trio.Nursery | None = None
 
     async def run(
@@ -122,7 +123,6 @@
         return {
             'batches': self.batches,
             'rows_written': self.rows_written,
-            'unsettled': self.unsettled,
         }
 
     async def _commit_lane(self, part: str) -> None:
@@ -145,6 +145,8 @@
         return [lane.popleft() for _taken in range(min(limit, len(lane)))]
 
     async def _commit(self, batch: list[Entry]) -> CommitResult:
+        if not batch:
+            return Committed(ABSENT)
         self.batches += 1
         return await self.store.commit(
             Transaction(
@@ -154,15 +156,29 @@
         )
 
     async def _resolve(self, batch: list[Entry], result: CommitResult) -> None:
-        while isinstance(result, Conflict):
-            batch = _settle_moved(batch, result)
-            if not batch:
-                return
+        """Find out what became of a batch, and commit what is left of it."""
+        while isinstance(result, (Conflict, Uncertain)):
+            if isinstance(result, Conflict):
+                batch = _settle_moved(batch, result)
+                result = await self._commit(batch)
+            else:
+                result = await self._insist(batch)
+        self._tell(batch, result)
+
+    async def _insist(self, batch: list[Entry]) -> Committed | Conflict:
+        """
+        Try the same writes again until it is certain what became of them.
+
+        They take effect now, or meet rows, which then show whose they are.
+        An Unavailable settles nothing: the first try may have worked.
+        """
+        pause = SETTLE_DELAY_MS
+        while True:
+            await self.clock.sleep(pause)
+            pause = min(pause * 2, LONGEST_SETTLE_DELAY_MS)
             result = await self._commit(batch)
-        if isinstance(result, Uncertain):
-            await self._settle(batch)
-        else:
-            self._tell(batch, result)
+            if isinstance(result, (Committed, Conflict)):
+                return result
 
     def _tell(self, batch: list[Entry], result: CommitResult) -> None:
         for entry in batch:
@@ -172,28 +188,6 @@
             else:
                 entry.settle(NotWritten())
 
-    async def _settle(self, batch: list[Entry]) -> None:
-        """
-        Find out what became of a transaction whose answer was lost.
-
-        The same writes are tried again one by one: each either takes
-        effect now, or meets a row, which then shows whose it is.  An
-        Unavailable settles nothing here: the first try may have worked.
-        """
-        self.unsettled += len(batch)
-        for entry in batch:
-            await self._settle_one(entry)
-            self.unsettled -= 1
-
-    async def _settle_one(self, entry: Entry) -> None:
-        while not entry.settled.is_set():
-            await self.clock.sleep(SETTLE_DELAY_MS)
-            result = await self._commit([entry])
-            if isinstance(result, Committed):
-                self._tell([entry], result)
-            elif isinstance(result, Conflict):
-                _settle_moved([entry], result)
-
 
 def _settle_moved(batch: list[Entry], conflict: Conflict) -> list[Entry]:
     """Settle the entries whose rows have moved; return the others."""
--- a/cyclamenshift/frontend.py
+++ b/cyclamenshift/frontend.py
@@ -13,7 +13,13 @@
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
+from hypercorn.typing import (
+    ASGIReceiveCallable,
+    ASGISendCallable,
+    ASGISendEvent,
+)
 from quart_trio import QuartTrio
+from quart_trio.asgi import TrioASGIHTTPConnection
 
 from .clock import SECOND_MS
 from .component import Component, Host
@@ -22,12 +28,35 @@
 
 #: How much longer than the grace period the server waits itself, ms.
 GRACE_MARGIN_MS = 5_000
+#: How long a part of an answer may take to go out, seconds.
+SEND_S = 10
 #: The media type of answers that report a problem.
 PROBLEM_TYPE = 'application/problem+json'
 
 
+class WholeAnswers(TrioASGIHTTPConnection):
+    """
+    Lets the server finish an answer and close its connection.
+
+    The application ends with its answer, and without this its end would
+    cancel the server's own closing of the connection.
+    """
+
+    async def __call__(
+        self,
+        receive: ASGIReceiveCallable,
+        send: ASGISendCallable,
+    ) -> None:
+        """Run the application on one request."""
+        await super().__call__(receive, partial(_send_whole, send))
+
+
 class Frontend(Component):
-    """An HTTP server: a quart application on hypercorn's trio worker."""
+    """
+    An HTTP server: a quart application on hypercorn's trio worker.
+
+    ``notice`` is how long it still takes requests when asked to stop, ms.
+    """
 
     kind = 'frontend'
     stage: ClassVar[int] = 10
@@ -36,8 +65,10 @@
         """Create the application; listen when run."""
         super().__init__(kernel)
         self.app = QuartTrio(self.name)
+        self.app.asgi_http_class = WholeAnswers
         self.app.config['BODY_TIMEOUT'] = None
         self.addresses: list[str] = []
+        self.notice = 0
         self._closing = trio.Event()
         self._closed = trio.Event()
 
@@ -69,7 +100,13 @@
             ) from error
 
     async def drain(self) -> None:
-        """Return when the last request has ended."""
+        """
+        Let the balancer see that this entry VM leaves, then close.
+
+        Requests are still taken during the notice: a caller that was
+        sent here a moment ago gets its answer.
+        """
+        await self.clock.sleep(self.notice)
         await self.close()
 
     async def close(self) -> None:
@@ -104,6 +141,14 @@
     return cast(bytes, received)
 
 
+async def _send_whole(
+    send: ASGISendCallable,
+    message: ASGISendEvent,
+) -> None:
+    with trio.move_on_after(SEND_S, shield=True):
+        await send(message)
+
+
 async def _told_when_ended(
     server: Callable[..., Awaitable[None]],
     ended: trio.Event,
--- a/cyclamenshift/frontends/callers.py
+++ b/cyclamenshift/frontends/callers.py
@@ -61,6 +61,7 @@
         """Set the routes and the bounds of bodies."""
         super().__init__(kernel)
         self.settings = kernel.settings['callers']
+        self.notice = self.settings['leaving_notice']
         self.configuration = kernel.get(Configuration)
         self.claims = kernel.get(Claims)
         self.dispatcher = kernel.get(Dispatcher)
@@ -83,16 +84,6 @@
         """Serve callers."""
         await self.listen((self.settings,), task_status)
 
-    async def drain(self) -> None:
-        """
-        Let the balancer see that this entry VM leaves, then close.
-
-        Requests are still taken during the notice: a caller that was
-        sent here a moment ago gets its answer.
-        """
-        await self.clock.sleep(self.settings['leaving_notice'])
-        await self.close()
-
     async def abandon(self) -> None:
         """Answer what is still in flight with unknown."""
         for scope in tuple(self.scopes):
--- a/cyclamenshift/platform/frontend.py
+++ b/cyclamenshift/platform/frontend.py
@@ -32,6 +32,9 @@
 DEADLINE: Final = 'X-Deadline-Ms'
 DEFAULT_WAIT_MS: Final = 3_000
 WAY_BACK_MS: Final = 50
+#: The longest time for a caller whose job may or may not be stored, ms: half
+#: of what callers usually allow, so that they can ask again.
+LONGEST_WAIT_MS: Final = 1_400
 
 
 class Target(NamedTuple):
@@ -52,6 +55,7 @@
         super().__init__(kernel)
         self.directory = kernel.get(Directory)
         self.desk = kernel.get(JobDesk)
+        self.notice = kernel.settings['callers']['leaving_notice']
         self.app.before_request(self.answer)
         self.app.after_request(self._close_when_draining)
 
@@ -154,7 +158,7 @@
 def _wait() -> int:
     text = quart.request.headers.get(DEADLINE, '')
     wait = int(text) if text.isdecimal() else DEFAULT_WAIT_MS
-    return max(1, wait - WAY_BACK_MS)
+    return max(1, min(LONGEST_WAIT_MS, wait - WAY_BACK_MS))
 
 
 def _prefix_length(queue: Queue) -> int:
--- a/cyclamenshift/platform/settings.py
+++ b/cyclamenshift/platform/settings.py
@@ -31,6 +31,9 @@
 #: How often peers show that they live, and when a silent one is lost, ms: a
 #: successor takes over well within the shortest lease.
 PEERS: Final = {'heartbeat': 250, 'silence': 800}
+#: How long a process that stops still takes requests, ms: the platform looks
+#: at readiness each second and goes by two looks.
+LEAVING_MS: Final = 2_600
 #: The name of the adapter's plug-ins.
 NAME: Final = 'platform'
 
@@ -109,15 +112,20 @@
     longest = bounds.get('maxHoldMs', LEASE_MS)
     limits = body['limits']
     size = limits['cpuShare'] * limits['cpuCores'] * CORE
+    grace = round(bounds.get('graceS', 1) * SECOND_MS)
     return {
         'entry': {
             'id': body['node'],
             'data_centre': body['zone'],
             'work': 'jobs',
             'size': max(1, round(size)),
-            'grace': round(bounds.get('graceS', 1) * SECOND_MS),
+            'grace': grace,
+        },
+        'callers': {
+            'plugin': NAME,
+            'leaving_notice': min(LEAVING_MS, grace // 2),
+            **_listen(body, 'front'),
         },
-        'callers': {'plugin': NAME, **_listen(body, 'front')},
         'readiness': _listen(body, 'ready'),
         'operators': {
             'plugin': 'job-operators',
--- a/cyclamenshift/store.py
+++ b/cyclamenshift/store.py
@@ -115,6 +115,11 @@
     Reads answer Unavailable when the store can't be reached in time.
     """
 
+    @property
+    def usable(self) -> bool:
+        """Whether calls are worth a try, as far as is known."""
+        return True
+
     @abc.abstractmethod
     async def read(self, keys: Sequence[Key]) -> list[Row] | Unavailable:
         """Return one row for each key, in that order."""
--- a/cyclamenshift/storemessages.py
+++ b/cyclamenshift/storemessages.py
@@ -9,7 +9,7 @@
 
 from typing import Final, NamedTuple
 
-from .peer import body
+from .peer import Body, body
 from .store import (
     Committed,
     Conflict,
@@ -69,16 +69,11 @@
 
 
 #: The results of the store, each a body as it is.
-RESULTS: Final = tuple(
-    map(
-        body,
-        (
-            Snapshot,
-            HistoryLost,
-            Committed,
-            Conflict,
-            Unavailable,
-            Uncertain,
-        ),
-    ),
+STORE_BODIES: Final[tuple[type[Body], ...]] = (
+    body(Snapshot),
+    body(HistoryLost),
+    body(Committed),
+    body(Conflict),
+    body(Unavailable),
+    body(Uncertain),
 )
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -25,6 +25,10 @@
     'callers': {'body_limit': 1_000, 'read_timeout': 300},
 }
 
+#: How long the end of a connection may take, seconds; less than the five
+#: after which an idle one is closed.
+CLOSE_S = 3
+
 
 @pytest.fixture
 def site(tmp_path: pathlib.Path) -> Iterator[Site]:
@@ -138,3 +142,26 @@
     (log,) = site.folder.glob('*.log')
     lines = log.read_text(encoding='utf-8').splitlines()
     return next((line for line in lines if line.startswith('{')), '')
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        'GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n',
+        'GET /healthz HTTP/1.0\r\n\r\n',
+    ],
+)
+async def test_connection_ends_after_a_last_answer(
+    site: Site,
+    head: str,
+) -> None:
+    """A caller that asks for it sees the end of the connection at once."""
+    entry = site.start_entry('entry-1', **EMBEDDED)
+    await site.until_up(entry)
+    port = int(entry.callers.rsplit(':', 1)[1])
+    stream = await trio.open_tcp_stream('127.0.0.1', port)
+    await stream.send_all(head.encode())
+    with trio.fail_after(CLOSE_S):
+        pieces = [bytes(received) async for received in stream]
+    answer = b''.join(pieces)
+    assert answer.startswith(b'HTTP/1.1 200')
