Store jobs through the owner of their service; wait for a commit's turn

Cause: where the platform is slow a transaction takes 250 ms, and a part runs its transactions one after the other.

Change: the entry VM offers a job to the owner of its service, who stores what all of them take in one transaction after the other, and has the job at once; without an answer from it the row is written as before. A commit waits for the second that transactions may stand in line, and the usual wait after it. A job of a queue that the owner's configuration does not have yet is kept until it does; it was dropped before.

test_store_is_slow and test_job_of_a_queue_not_heard_of_yet failed before and pass now.

--- a/cyclamenshift/controls/access.py
+++ b/cyclamenshift/controls/access.py
@@ -45,7 +45,7 @@
 PROBE_MS: Final = 400
 #: How long a peer may take for a call of the store, ms: as long as the
 #: store itself may take.
-PEER_WAIT_MS: Final = 1_600
+PEER_WAIT_MS: Final = 2_600
 
 ResultType = TypeVar('ResultType')
 NO_PATH: Final = Unavailable('neither this entry VM nor a peer reaches it')
--- a/cyclamenshift/controls/desk.py
+++ b/cyclamenshift/controls/desk.py
@@ -4,8 +4,10 @@
 
 Takes jobs from callers, and answers for them, at any entry VM.
 
-A job is accepted when its row is stored.  The owner of its service is told
-then; where that hint is lost the owner finds the row by itself.
+A job is accepted when its row is stored.  The owner of its service stores
+it, so that one entry VM gathers what all of them take.  Where the owner
+gives no answer the row is written here: then it shows whether the owner had
+written it, and the owner finds it by itself if it had not.
 """
 
 from typing import ClassVar, Final, NamedTuple, TypeAlias
@@ -18,6 +20,7 @@
     CountAnswer,
     CountQuery,
     JobCancelled,
+    JobOffer,
     JobStored,
     StateAnswer,
     StateQuery,
@@ -92,10 +95,9 @@
         """Store *job*, within *wait* ms, and tell the owner of its service."""
         if not self.store.usable:
             return NotStored('the store can not be reached', RETRY_AFTER_MS)
-        key = job_key(queue.service, job.job_id)
         result: Written | Rival | NotWritten | None = None
         with self.clock.move_on_after(wait):
-            result = await self.ledger.write(key, ABSENT, JobRow(job=job))
+            result = await self._write(queue.service, job, wait)
         if result is None:
             return MaybeStored('the store did not answer in time')
         if isinstance(result, NotWritten):
@@ -103,7 +105,6 @@
         if isinstance(result, Rival):
             present = typed(result.row, JobRow)['job']
             return Stored() if present.same_as(job) else Different()
-        self.ownership.tell_owner(queue.service, JobStored(queue.service, job))
         return Stored()
 
     async def state_of(
@@ -158,6 +159,26 @@
             return answer.waiting
         return await self._read_waiting(queue)
 
+    async def _write(
+        self,
+        service: str,
+        job: Job,
+        wait: int,
+    ) -> Written | Rival | NotWritten:
+        """Let the owner of *service* write the row, or write it here."""
+        offer = JobOffer(service, job)
+        answer = await self.ownership.ask_owner(service, offer, wait)
+        if isinstance(answer, Written | Rival | NotWritten):
+            return answer
+        result = await self.ledger.write(
+            job_key(service, job.job_id),
+            ABSENT,
+            JobRow(job=job),
+        )
+        if isinstance(result, Written):
+            self.ownership.tell_owner(service, JobStored(service, job))
+        return result
+
     async def _read_state(
         self,
         queue: Queue,
--- a/cyclamenshift/controls/ledger.py
+++ b/cyclamenshift/controls/ledger.py
@@ -12,11 +12,13 @@
 
 from ..component import Dump, Host
 from ..control import Control
+from ..peer import body
+from ..plugin import register
 from ..store import (
     ABSENT,
     Check,
-    Committed,
     CommitResult,
+    Committed,
     Conflict,
     Fields,
     Key,
@@ -26,7 +28,6 @@
     Write,
     path_to_store,
 )
-from ..plugin import register
 
 #: The wait before a lost answer is asked for again, ms, and how long it may
 #: grow: a slow store is not to be flooded.
@@ -34,18 +35,21 @@
 LONGEST_SETTLE_DELAY_MS = 400
 
 
+@body
 class Written(NamedTuple):
     """The row is in the table, under this version."""
 
     version: int
 
 
+@body
 class Rival(NamedTuple):
     """Another row stands there, or none where one was expected."""
 
     row: Row
 
 
+@body
 class NotWritten(NamedTuple):
     """The row was certainly not written."""
 
--- a/cyclamenshift/duties/scheduler.py
+++ b/cyclamenshift/duties/scheduler.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 
 from ..component import Dump, Host
+from ..controls.ledger import Ledger, NotWritten, Rival, Written
 from ..controls.ownership import Ownership
 from ..directory import Catalog, Directory
 from ..duty import Duty, Tenure
@@ -16,13 +17,17 @@
     CountAnswer,
     CountQuery,
     JobCancelled,
+    JobOffer,
     JobStored,
+    NotOwned,
     StateAnswer,
     StateQuery,
 )
+from ..jobrows import JobRow, job_key
 from ..peer import Peer
 from ..plugin import register
 from ..scheduling.service import ServiceScheduler
+from ..store import ABSENT
 from .fleet import FLEET
 
 NOT_OWNED = StateAnswer(owned=False, queue='', state=None)
@@ -38,10 +43,12 @@
         """Own no service yet."""
         super().__init__(kernel)
         self.directory = kernel.get(Directory)
+        self.ledger = kernel.get(Ledger)
         self.schedulers: dict[str, ServiceScheduler] = {}
         peer = kernel.get(Peer)
         peer.listen_to(JobStored, self._take_stored)
         peer.listen_to(JobCancelled, self._take_cancelled)
+        peer.answer(JobOffer, self._answer_offer)
         peer.answer(StateQuery, self._answer_state)
         peer.answer(CountQuery, self._answer_count)
         peer.answer(Vacate, self._answer_vacate)
@@ -82,6 +89,24 @@
         if scheduler:
             scheduler.rows.cancel(told.job_id)
 
+    async def _answer_offer(
+        self,
+        entry_id: str,
+        offer: JobOffer,
+    ) -> Written | Rival | NotWritten | NotOwned:
+        """Store a job and take it, so that nobody has to tell of it."""
+        if self._loaded(offer.service) is None:
+            return NotOwned()
+        result = await self.ledger.write(
+            job_key(offer.service, offer.job.job_id),
+            ABSENT,
+            JobRow(job=offer.job),
+        )
+        scheduler = self._loaded(offer.service)
+        if scheduler and isinstance(result, Written):
+            scheduler.rows.add(offer.job)
+        return result
+
     async def _answer_state(
         self,
         entry_id: str,
--- a/cyclamenshift/jobmessages.py
+++ b/cyclamenshift/jobmessages.py
@@ -25,6 +25,19 @@
     held: tuple[Holding, ...]
 
 
+@body
+class JobOffer(NamedTuple):
+    """Store this job; sent to the owner of its service."""
+
+    service: str
+    job: Job
+
+
+@body
+class NotOwned(NamedTuple):
+    """The receiver does not own the service, so it did nothing."""
+
+
 @body
 class JobStored(NamedTuple):
     """A job was stored; sent to the owner of its service."""
--- a/cyclamenshift/platform/store.py
+++ b/cyclamenshift/platform/store.py
@@ -19,8 +19,8 @@
 from ..plugin import register
 from ..store import (
     ABSENT,
-    Committed,
     CommitResult,
+    Committed,
     Conflict,
     Fields,
     HistoryLost,
@@ -49,6 +49,9 @@
 #: to sixty times that where the platform is slow.
 SHORTEST_WAIT_MS: Final = 150
 LONGEST_WAIT_MS: Final = 1_500
+#: How long the transactions of a part may wait for their turn, ms; the
+#: store turns more of them away.
+PART_QUEUE_MS: Final = 1_000
 
 
 #: A row; a dropped one has no value.
@@ -136,7 +139,12 @@
     async def commit(self, transaction: Transaction) -> CommitResult:
         """Apply *transaction* whole, or not at all."""
         body = msgspec.json.encode(_transaction_body(transaction))
-        result = await self._call('POST', '/v1/rows-tx', body, 0)
+        result = await self._call(
+            'POST',
+            '/v1/rows-tx',
+            body,
+            PART_QUEUE_MS,
+        )
         return self._count('commit', _commit_result(result, transaction))
 
     async def put_object(self, name: str, body: bytes) -> bool:
--- a/cyclamenshift/scheduling/rows.py
+++ b/cyclamenshift/scheduling/rows.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable
-from typing import Final
+from typing import Final, NamedTuple
 
 from ..decisions.progress import JobProgress
 from ..directory import Directory, Queue
@@ -27,6 +27,13 @@
 POLL_MS: Final = 1_000
 
 
+class Entry(NamedTuple):
+    """A job, and the row of its progress if that was recorded."""
+
+    job: Job
+    recorded: Row | None
+
+
 class Rows:
     """The task that reads the rows of one service."""
 
@@ -37,6 +44,7 @@
         self.book = state.book
         self.directory = directory
         self.versions = {JOB_TABLE: ABSENT, CANCEL_TABLE: ABSENT}
+        self.orphans: dict[str, Entry] = {}
 
     async def load(self) -> None:
         """Read every row of the service; try until the store gives them."""
@@ -52,13 +60,13 @@
         """Look for jobs and cancels whose hint was lost, until cancelled."""
         while True:
             await self.clock.sleep(POLL_MS)
+            self._take_orphans()
             for table in tuple(self.versions):
                 await self._poll(table)
 
     def add(self, job: Job) -> None:
         """Take a job that was stored."""
-        queue = self._queue(job.queue)
-        if queue and self.book.add(job, queue, self.clock.wall()):
+        if self._enter(Entry(job, None)):
             self.state.arrivals.add(job, self.clock.now())
             self.state.wake()
 
@@ -97,19 +105,43 @@
             self.cancel(cancelled.key.name)
 
     def _restore(self, row: Row, recorded: Row | None) -> None:
-        job = typed(row, JobRow)['job']
+        self._enter(Entry(typed(row, JobRow)['job'], recorded))
+
+    def _enter(self, entry: Entry) -> bool:
+        """Put a job into the book; return whether it is new there."""
+        job, recorded = entry
         queue = self._queue(job.queue)
         if queue is None:
-            return
+            self._keep_orphan(entry)
+            return False
         if recorded is None:
-            self.book.add(job, queue, self.clock.wall())
-            return
+            added = self.book.add(job, queue, self.clock.wall())
+            return added is not None
         self.book.restore(
             JobProgress(job, queue, recorded.version),
             typed(recorded, ProgressRow),
             self.clock.wall(),
             self.clock.now(),
         )
+        return True
+
+    def _keep_orphan(self, entry: Entry) -> None:
+        """Keep a job whose queue the configuration here does not have yet."""
+        job = entry.job
+        if job.job_id not in self.orphans:
+            self.orphans[job.job_id] = entry
+            self.state.log.note(
+                'A job waits for its queue.',
+                job=job.job_id,
+                queue=job.queue,
+            )
+
+    def _take_orphans(self) -> None:
+        for entry in tuple(self.orphans.values()):
+            if self._queue(entry.job.queue):
+                self.orphans.pop(entry.job.job_id)
+                self._enter(entry)
+                self.state.wake()
 
     def _queue(self, name: str) -> Queue | None:
         catalog = self.directory.catalog
--- a/tests/examples.py
+++ b/tests/examples.py
@@ -5,6 +5,7 @@
 One example of each body that peers send.
 """
 
+from cyclamenshift.controls.ledger import NotWritten, Rival, Written
 from cyclamenshift.fleetmessages import PoolReport, Vacate, Vacated, VmLoad
 from cyclamenshift.forwarding import (
     AnswerDone,
@@ -19,7 +20,9 @@
     Holding,
     Holdings,
     JobCancelled,
+    JobOffer,
     JobStored,
+    NotOwned,
     StateAnswer,
     StateQuery,
 )
@@ -62,6 +65,11 @@
     Versions(3, 17),
     Holdings((Holding('desk', 3),)),
     JobStored('desk', builders.job()),
+    JobOffer('desk', builders.job()),
+    NotOwned(),
+    Written(7),
+    Rival(ROW),
+    NotWritten(),
     JobCancelled('desk', 'job-1'),
     StateQuery('desk', 'job-1'),
     StateAnswer(True, 'checks', JobState.running),
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -45,11 +45,11 @@
 from cyclamenshift.peers.stream import StreamPeer
 from cyclamenshift.store import (
     CommitResult,
-    Store,
     HistoryLost,
     Key,
     Row,
     Snapshot,
+    Store,
     Transaction,
     Unavailable,
     Uncertain,
@@ -63,6 +63,8 @@
 
 #: How long a lost answer of the store is waited for, ms.
 LOST_WAIT_MS = 2_000
+#: How long the transactions of a part may wait for their turn, ms.
+PART_QUEUE_MS = 1_000
 #: How long one call of the store takes, ms.
 STORE_CALL_MS = 3
 #: How long a worker runs a request that does not say, ms.
@@ -81,7 +83,18 @@
         self.down = False
         self.lose_answers = 0
         self.delay = STORE_CALL_MS
+        self.transaction_ms = 0
         self.cut_off: set[str] = set()
+        self._busy_until: dict[str, float] = {}
+
+    def queue_up(self, part: str) -> float | None:
+        """Return when a transaction on *part* ends, s; None if it is full."""
+        now = trio.current_time()
+        begins = max(now, self._busy_until.get(part, now))
+        if begins - now > PART_QUEUE_MS / 1000:
+            return None
+        self._busy_until[part] = begins + self.transaction_ms / 1000
+        return self._busy_until[part]
 
 
 class FakeStore(Store):
@@ -117,6 +130,8 @@
         await self.clock.sleep(self.store.delay)
         if self._unreachable():
             return Unavailable('down')
+        if not await self._take_turn(transaction):
+            return Unavailable('busy')
         result = self.store.table.commit(transaction)
         if self.store.lose_answers:
             self.store.lose_answers -= 1
@@ -136,6 +151,15 @@
         """Return the object."""
         return await self._guard(lambda: self.store.objects[name])
 
+    async def _take_turn(self, transaction: Transaction) -> bool:
+        """Wait for the transactions before; return whether there was room."""
+        entries = transaction.writes or transaction.checks
+        ends = self.store.queue_up(entries[0].key.part)
+        if ends is None:
+            return False
+        await trio.sleep_until(ends)
+        return True
+
     async def _guard(
         self,
         reader: Callable[[], ReadType],
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -308,11 +308,16 @@
             if service not in entry.scheduler.schedulers
         )
 
-    async def submit(self, entry: JobEntry, job: Job) -> None:
-        """Hand in a job, which has to be accepted."""
+    async def submit(
+        self,
+        entry: JobEntry,
+        job: Job,
+        wait: int = WAIT_MS,
+    ) -> None:
+        """Hand in a job, which has to be accepted within *wait* ms."""
         self.know(job)
         queue = self.queue_of(job)
-        result = await entry.desk.submit(queue, job, WAIT_MS)
+        result = await entry.desk.submit(queue, job, wait)
         assert isinstance(result, Stored), result
 
     def know(self, job: Job) -> None:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -5,16 +5,24 @@
 Jobs over the whole path: stored, scheduled, run and told, with failures.
 """
 
+import itertools
+
 import trio
 from trio.testing import MockClock
 
+from cyclamenshift.controls.desk import Stored
 from cyclamenshift.job import JobState, Room
 from cyclamenshift.scheduling.keeper import Keeper
 
-from .builders import job, step
+from .builders import catalog, job, step
 from .standins.fakes import STORE_CALL_MS
 from .standins.jobs import JobCluster
 
+#: A transaction where the platform is slow, and how long a caller is let
+#: wait, ms.
+SLOW_MS = 250
+CALLER_MS = 1_400
+
 
 async def test_job_is_run_and_told(
     jobs: JobCluster,
@@ -162,3 +170,38 @@
     await trio.sleep(12)
     assert jobs.state(owner, 'desk').tenure.epoch == epoch
     assert not jobs.world.faults()
+
+
+async def test_store_is_slow(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """What many entry VMs take at once is stored in few transactions."""
+    jobs.add_workers('desk', 2)
+    await jobs.start_all(8)
+    jobs.store.transaction_ms = SLOW_MS
+    work = [job(f'job-{number}') for number in range(48)]
+    entries = itertools.cycle(jobs.entries.values())
+    async with trio.open_nursery() as nursery:
+        for handed_in, entry in zip(work, entries, strict=False):
+            await trio.sleep(0.05)
+            nursery.start_soon(jobs.submit, entry, handed_in, CALLER_MS)
+    assert not jobs.world.faults()
+
+
+async def test_job_of_a_queue_not_heard_of_yet(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """The owner keeps it until the configuration tells of the queue."""
+    jobs.add_workers('desk', 2)
+    entry = (await jobs.start_all(2))[0]
+    handed_in = job()
+    queue = jobs.queue_of(handed_in)
+    known = catalog()
+    jobs.site.catalog = known._replace(queues={})
+    jobs.know(handed_in)
+    assert isinstance(await entry.desk.submit(queue, handed_in, 3_000), Stored)
+    await trio.sleep(3)
+    jobs.site.catalog = known
+    await jobs.until_state(JobState.completed, handed_in)
