--- a/cyclamenshift/decisions/book.py
+++ b/cyclamenshift/decisions/book.py
@@ -129,6 +129,7 @@
         """Note that *attempt* is over, or never was; its task may wait."""
         if attempt.task.attempts.pop(attempt.number, None) is None:
             return
+        self.touch(attempt.task.job)
         self.surplus.pop(attempt.run, None)
         there = self.at[attempt.life]
         there.pop(attempt.run)
--- a/cyclamenshift/decisions/leases.py
+++ b/cyclamenshift/decisions/leases.py
@@ -29,10 +29,9 @@
         self.answered_at: int | None = None
         self.granted = 0
 
-    @property
-    def known(self) -> bool:
-        """Whether the worker has ever told its time."""
-        return self.answered_at is not None
+    def heard_since(self, then: int) -> bool:
+        """Return whether the worker has told its time since *then*."""
+        return self.answered_at is not None and self.answered_at >= then
 
     def observe(self, clock: int, now: int) -> None:
         """Note the time that the worker told in an answer just now."""
--- a/cyclamenshift/decisions/lending.py
+++ b/cyclamenshift/decisions/lending.py
@@ -26,8 +26,9 @@
     A pool as the manager of the fleet sees it.
 
     ``used`` and ``waiting`` are what its tasks have and want, ``expected``
-    what they will take if jobs go on coming; ``empty`` names the VMs that
-    run nothing.
+    what they will take if jobs go on coming; ``spread`` is how many VMs they
+    need at least because few may share one; ``empty`` names the VMs that run
+    nothing.
     """
 
     service: str
@@ -36,6 +37,7 @@
     used: Room
     waiting: Room
     expected: Room
+    spread: int
     empty: frozenset[str]
 
 
@@ -57,7 +59,7 @@
         for now, soon, size in zip(present, pool.expected, room, strict=True)
         if size
     )
-    return max(counts) + BUFFER
+    return max(pool.spread, *counts) + BUFFER
 
 
 class Lender:
--- a/cyclamenshift/fleetmessages.py
+++ b/cyclamenshift/fleetmessages.py
@@ -30,7 +30,8 @@
     What a service's pool does.
 
     ``waiting`` is what its waiting tasks ask for, ``expected`` what its
-    tasks will take if jobs go on coming as they do now.
+    tasks will take if jobs go on coming as they do now; ``spread`` is how
+    many VMs they want because few of them may share a worker.
     """
 
     service: str
@@ -38,6 +39,7 @@
     vms: tuple[VmLoad, ...]
     waiting: Room
     expected: Room
+    spread: int = 0
 
 
 @body
--- a/cyclamenshift/managing/state.py
+++ b/cyclamenshift/managing/state.py
@@ -123,6 +123,7 @@
             used=total([load.used for load in report.vms]),
             waiting=report.waiting,
             expected=report.expected,
+            spread=report.spread,
             empty=frozenset(vm.vm_id for vm in vms) - running,
         )
 
--- a/cyclamenshift/peers/frames.py
+++ b/cyclamenshift/peers/frames.py
@@ -56,7 +56,9 @@
 
     def __init__(self, frame_limit: int) -> None:
         """Refuse frames of more than *frame_limit* bytes."""
-        self.unpacker = msgpack.Unpacker(max_buffer_size=frame_limit)
+        self.frame_limit = frame_limit
+        self.unpacker = msgpack.Unpacker(max_buffer_size=2 * frame_limit)
+        self.fed = 0
 
     def feed(self, received: bytes | bytearray) -> Iterator[Message]:
         """
@@ -64,18 +66,24 @@
 
         Raises ProtocolError for a frame too long or of no known shape.
         """
-        try:
-            self.unpacker.feed(received)
-        except msgpack.BufferFull as error:
+        for start in range(0, len(received), self.frame_limit):
+            piece = received[start : start + self.frame_limit]
+            self.fed += len(piece)
+            self.unpacker.feed(piece)
+            try:
+                for frame in self.unpacker:
+                    yield _decode(frame)
+            except (msgpack.UnpackException, ValueError) as broken:
+                raise _unknown(broken) from broken
+            self._check_rest()
+
+    def _check_rest(self) -> None:
+        """Refuse an unfinished frame that is already too long."""
+        if self.fed - self.unpacker.tell() > self.frame_limit:
             raise ProtocolError(
                 'A peer sent a frame that is too long.',
                 'Set the same peers.frame_limit at every entry VM.',
-            ) from error
-        try:
-            for frame in self.unpacker:
-                yield _decode(frame)
-        except (msgpack.UnpackException, ValueError) as broken:
-            raise _unknown(broken) from broken
+            )
 
 
 @singledispatch
--- a/cyclamenshift/scheduling/keeper.py
+++ b/cyclamenshift/scheduling/keeper.py
@@ -14,6 +14,9 @@
 
 #: How long a worker may wait for an end before it reports, ms.
 REPORT_WAIT_MS: Final = 1_000
+#: How long the ends of a report may take to be recorded before the lease is
+#: renewed without acknowledging them, ms; well within a lease.
+RECORD_WAIT_MS: Final = 500
 #: The wait before a worker that did not answer is asked again, ms.
 RETRY_MS: Final = 150
 #: The wait before a worker that is not registered any more is asked, ms.
@@ -34,7 +37,7 @@
         station = self.station
         while not station.gone:
             wanted = station.wanted
-            if station.surveyed and not self.state.has_runs(station):
+            if station.answers and not self.state.has_runs(station):
                 await wanted.wait()
             await self.renew(REPORT_WAIT_MS if station.surveyed else 0)
 
@@ -63,7 +66,10 @@
         station.misses = 0
         station.surveyed = True
         noted = self.state.take_report(station, result)
-        await self.state.recorder.recorded(*noted.jobs)
+        with self.clock.move_on_after(RECORD_WAIT_MS) as waiting:
+            await self.state.recorder.recorded(*noted.jobs)
+        if waiting.cancelled_caught:
+            return
         last = max((end.number for end in result.ended), default=0)
         station.acknowledged = max(station.acknowledged, last)
 
--- a/cyclamenshift/scheduling/reporting.py
+++ b/cyclamenshift/scheduling/reporting.py
@@ -11,7 +11,7 @@
 from ..decisions.book import room_of
 from ..decisions.lending import total
 from ..fleetmessages import PoolReport, VmLoad
-from ..job import NOTHING
+from ..job import NOTHING, Step
 from .state import ServiceState
 from .station import Station
 
@@ -56,9 +56,18 @@
             [room_of(task.step) for task in state.book.waiting.values()],
         ),
         expected=state.arrivals.demand(state.clock.now()),
+        spread=max(
+            (_spread(task.step) for task in state.book.waiting.values()),
+            default=0,
+        ),
     )
 
 
+def _spread(step: Step) -> int:
+    """Return how many workers the tasks of *step* have to run on."""
+    return -(-step.tasks // step.worker_limit) if step.worker_limit else 0
+
+
 def _load(state: ServiceState, station: Station) -> VmLoad:
     runs = state.book.runs_at(station.worker.life)
     return VmLoad(
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -28,6 +28,9 @@
 #: How old the proof of ownership may become, ms; small against the horizon
 #: of the leases that it bounds.
 PROOF_MS: Final = 1_000
+#: How long a worker may be silent before it gets no new lease, ms: longer
+#: than it may wait for an end before it reports.
+SILENCE_MS: Final = 1_500
 #: The wait before a call of the store that failed is tried again, ms.
 RETRY_MS: Final = 100
 
@@ -85,12 +88,13 @@
         """
         Return the expiry of a new lease, 0 for none.
 
-        No lease reaches beyond ``lease_horizon`` after the last proof of
-        ownership: a successor waits that long for workers that it can't
-        reach.
+        A worker that does not answer gets none, so that its leases run out
+        and what it had runs elsewhere.  No lease reaches beyond
+        ``lease_horizon`` after the last proof of ownership: a successor
+        waits that long for workers that it can't reach.
         """
         now = self.clock.now()
-        if not station.lease.known:
+        if not station.lease.heard_since(now - SILENCE_MS):
             return 0
         unproved = now - self.tenure.confirmed_at
         left = self.settings['lease_horizon'] - unproved
@@ -175,6 +179,7 @@
             reason=reason,
         )
         self.book.remove(attempt)
+        self.recorder.want()
         self.wake()
 
     async def check_tenure(self) -> None:
@@ -198,4 +203,5 @@
                 reason=reason,
                 runs=[attempt.run for attempt in lost],
             )
+            self.recorder.want()
             self.wake()
--- a/cyclamenshift/scheduling/station.py
+++ b/cyclamenshift/scheduling/station.py
@@ -34,12 +34,16 @@
         self.scope = trio.CancelScope()
         self.wanted = trio.Event()
 
+    @property
+    def answers(self) -> bool:
+        """Whether the worker answered when it was asked last."""
+        return self.surveyed and not self.misses
+
     def usable(self, now: int) -> bool:
         """Return whether new runs may start here."""
         stays = self.registered and not self.gone and not self.worker.leaving
-        answers = self.surveyed and not self.misses
         free = now >= max(self.shunned_until, self.reserved_until)
-        return stays and answers and free
+        return stays and self.answers and free
 
     def want(self) -> None:
         """Wake the task that keeps this worker."""
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -205,3 +205,64 @@
     await trio.sleep(3)
     jobs.site.catalog = known
     await jobs.until_state(JobState.completed, handed_in)
+
+
+async def test_failed_start_is_recorded(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """A successor doesn't wait for a run that never began."""
+    jobs.add_workers('desk', 1)
+    await jobs.start_all(2)
+    await trio.sleep(0.5)
+    gone = jobs.worker_on('desk-vm-1')
+    jobs.world.crash(gone)
+    handed_in = job(steps=(step(tasks=1),))
+    await jobs.submit(jobs.other('desk'), handed_in)
+    await trio.sleep(0.5)
+    jobs.site.workers.pop(gone)
+    jobs.site.tell()
+    await trio.sleep(1)
+    jobs.kill(jobs.owner('desk'))
+    jobs.add_vm('desk-vm-2', 'desk')
+    await jobs.until(jobs.owned)
+    with trio.fail_after(2):
+        await jobs.until_state(JobState.completed, handed_in)
+
+
+async def test_worker_answers_again_after_its_leases(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """It is used again, although its runs were given up."""
+    jobs.add_workers('desk', 1)
+    await jobs.start_all(2)
+    handed_in = job(steps=(step(tasks=1),))
+    await jobs.submit(jobs.other('desk'), handed_in)
+    await jobs.until(lambda: jobs.world.started)
+    (sim,) = jobs.world.lives.values()
+    sim.silent_to = set()
+    await trio.sleep(10)
+    assert not jobs.state(jobs.owner('desk'), 'desk').book.at
+    sim.silent_to = None
+    await jobs.until_state(JobState.completed, handed_in)
+
+
+async def test_end_can_not_be_recorded_for_long(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """What else runs at the worker keeps its lease meanwhile."""
+    jobs.add_workers('desk', 1)
+    await jobs.start_all(2)
+    ends = job('ends', steps=(step(tasks=1),))
+    lasts = job('lasts', steps=(step(tasks=1, long_running=True),))
+    for handed_in in (lasts, ends):
+        await jobs.submit(jobs.other('desk'), handed_in)
+    await jobs.until(lambda: len(jobs.world.started) == 2)
+    jobs.store.down = True
+    await trio.sleep(6)
+    jobs.store.down = False
+    await jobs.until_state(JobState.completed, ends)
+    await trio.sleep(3)
+    assert len(jobs.world.started) == 2
