--- a/cyclamenshift/decisions/lending.py
+++ b/cyclamenshift/decisions/lending.py
@@ -18,7 +18,7 @@
 #: How many VMs beyond the present need a pool keeps.
 BUFFER: Final = 1
 #: How long a pool must have had too many VMs before it gives one back, ms.
-GIVE_BACK_MS: Final = 3_000
+GIVE_BACK_MS: Final = 1_500
 
 
 class PoolView(NamedTuple):
--- a/cyclamenshift/platform/directory.py
+++ b/cyclamenshift/platform/directory.py
@@ -49,7 +49,7 @@
 OPERATOR_WAIT_MS: Final = 1_500
 #: How often the registrations are looked at, ms: their heartbeats change
 #: them all the time, so that waiting for a change would not wait.
-WORKERS_POLL_MS: Final = 400
+WORKERS_POLL_MS: Final = 150
 #: The wait after a call that failed, ms.
 RETRY_MS: Final = 200
 
