--- a/cyclamenshift/managing/orders.py
+++ b/cyclamenshift/managing/orders.py
@@ -51,6 +51,7 @@
 async def _move(state: FleetState, vm: ProvidedVm, pool: str) -> None:
     order = partial(state.provider.move, vm.vm_id, pool, state.authority)
     result = await _order(state, order)
+    _count(state, 'move', result)
     if isinstance(result, VmAccepted):
         state.log.note('A VM moves.', vm=vm.vm_id, pool=vm.pool, to=pool)
         state.vms[vm.vm_id] = vm._replace(pool=pool)
@@ -99,6 +100,7 @@
         state.authority,
     )
     result = await _order(state, order)
+    _count(state, 'maintain', result)
     if not isinstance(result, VmAccepted):
         state.log.warning(
             'A VM is not maintained.',
@@ -117,6 +119,15 @@
     return True
 
 
+def _count(
+    state: FleetState,
+    kind: str,
+    result: VmAccepted | VmRefused | None,
+) -> None:
+    labels = {'kind': kind, 'result': type(result).__name__}
+    state.kernel.metrics.vm_orders.inc(labels)
+
+
 async def _order(
     state: FleetState,
     order: Callable[[], Awaitable[VmResult]],
--- a/cyclamenshift/managing/state.py
+++ b/cyclamenshift/managing/state.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from ..clock import Clock
 from ..component import Host
 from ..decisions.lending import PoolView, total
 from ..decisions.maintenance import Standing
@@ -34,7 +35,7 @@
 
     def __init__(self, kernel: Host, tenure: Tenure) -> None:
         """Start empty, under *tenure*."""
-        self.clock = kernel.clock
+        self.kernel = kernel
         self.tenure = tenure
         self.log = get_logger('fleet')
         self.store = path_to_store(kernel)
@@ -50,6 +51,11 @@
         self.impossible: set[tuple[str, str]] = set()
         self.changed = trio.Event()
 
+    @property
+    def clock(self) -> Clock:
+        """The clock of the process."""
+        return self.kernel.clock
+
     def wake(self) -> None:
         """Let the manager decide again."""
         self.changed.set()
--- a/cyclamenshift/metrics.py
+++ b/cyclamenshift/metrics.py
@@ -2,13 +2,30 @@
 cyclamenshift.metrics
 =====================
 
-The counters and gauges of one process, in the Prometheus text format.
+The counters, gauges and histograms of one process, as Prometheus text.
 """
 
-from aioprometheus import Counter, Gauge, Registry, render
+from typing import Final
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 #: The media type in which the metrics are offered.
-TEXT_FORMAT = 'text/plain; version=0.0.4'
+TEXT_FORMAT: Final = 'text/plain; version=0.0.4'
+#: The upper ends of the latency buckets, ms; the last one is unbounded.
+BUCKETS_MS: Final = (
+    5.0,
+    10.0,
+    25.0,
+    50.0,
+    100.0,
+    250.0,
+    500.0,
+    1_000.0,
+    2_500.0,
+    5_000.0,
+    10_000.0,
+    30_000.0,
+)
 
 
 class Metrics:
@@ -37,6 +54,34 @@
             'store_calls_total',
             'Calls of the store, by operation and result.',
         )
+        self.runs = self._counter(
+            'run_orders_total',
+            'Orders to start a run, by service and result.',
+        )
+        self.ends = self._counter(
+            'run_ends_total',
+            'Runs that ended, by service and how.',
+        )
+        self.vm_orders = self._counter(
+            'vm_orders_total',
+            'Orders to move or maintain a VM, by kind and result.',
+        )
+        self.answer_ms = self._histogram(
+            'answer_ms',
+            'Time until a caller was answered, by method, ms.',
+        )
+        self.store_ms = self._histogram(
+            'store_call_ms',
+            'Time that the store took for a call, by operation, ms.',
+        )
+        self.start_ms = self._histogram(
+            'run_start_ms',
+            'Time from planning a run to its start, by service, ms.',
+        )
+        self.job_ms = self._histogram(
+            'job_ms',
+            'Time from accepting a job to its end, by service and state, ms.',
+        )
         self.queued = Gauge(
             'cyclamenshift_queued_requests',
             'Requests that wait for a slot, by pool.',
@@ -48,5 +93,13 @@
         body, _headers = render(self.registry, [TEXT_FORMAT])
         return str(body.decode())
 
+    def _histogram(self, name: str, doc: str) -> Histogram:
+        return Histogram(
+            f'cyclamenshift_{name}',
+            doc,
+            registry=self.registry,
+            buckets=BUCKETS_MS,
+        )
+
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(f'cyclamenshift_{name}', doc, registry=self.registry)
--- a/cyclamenshift/platform/frontend.py
+++ b/cyclamenshift/platform/frontend.py
@@ -120,10 +120,19 @@
 
     def _log(self, target: Target, response: Response, took: int) -> None:
         catalog = self.directory.catalog
+        metrics = self.kernel.metrics
+        method = quart.request.method
+        metrics.answer_ms.observe({'method': method}, took)
+        metrics.outcomes.inc(
+            {
+                'service': target.queue.service,
+                'outcome': str(response.status_code),
+            },
+        )
         self.log.note(
             'Answered a caller.',
             request=quart.request.headers.get(REQUEST_ID, ''),
-            method=quart.request.method,
+            method=method,
             queue=target.queue.name,
             job=target.rest,
             status=response.status_code,
--- a/cyclamenshift/platform/settings.py
+++ b/cyclamenshift/platform/settings.py
@@ -34,6 +34,8 @@
 #: How long a process that stops still takes requests, ms: the platform looks
 #: at readiness each second and goes by two looks.
 LEAVING_MS: Final = 2_600
+#: Where operators ask; it stands in deploy/system.toml too.
+METRICS_PORT: Final = 9464
 #: The name of the adapter's plug-ins.
 NAME: Final = 'platform'
 
@@ -74,7 +76,6 @@
         'ip': str,
         'zone': str,
         'listen': ListenBody,
-        'portRange': list[int],
         'limits': LimitsBody,
         'bounds': BoundsBody,
         'platform': ServiceBody,
@@ -130,7 +131,7 @@
         'operators': {
             'plugin': 'job-operators',
             'host': body['ip'],
-            'port': body['portRange'][0],
+            'port': METRICS_PORT,
         },
         'peers': {**_listen(body, 'control'), **PEERS},
         'store': {'plugin': NAME, 'address': body['platform']['address']},
--- a/cyclamenshift/platform/store.py
+++ b/cyclamenshift/platform/store.py
@@ -191,9 +191,12 @@
         longest = wait + self.timeout.current()
         call = Call(method, target, body, longest)
         result = await self.client.call(self.address, call)
+        took = self.clock.now() - started
+        operation = target.partition('?')[0]
+        self.kernel.metrics.store_ms.observe({'operation': operation}, took)
         if isinstance(result, Answer):
             if not wait:
-                self.timeout.record(self.clock.now() - started)
+                self.timeout.record(took)
         else:
             self.timeout.expire()
             self.last_error = f'{target}: {result.reason}'
--- a/cyclamenshift/scheduling/orders.py
+++ b/cyclamenshift/scheduling/orders.py
@@ -58,6 +58,13 @@
         self.station.want()
         worker = self.station.worker
         result = await self.state.client.start(worker, self._order())
+        metrics = self.state.kernel.metrics
+        metrics.runs.inc(
+            {
+                'service': self.state.service,
+                'result': type(result).__name__,
+            },
+        )
         await self._take(result)
 
     def _unwanted(self) -> bool:
@@ -88,6 +95,11 @@
         now = self.state.clock.now()
         self.station.lease.observe(result.clock, now)
         self.state.book.accept(self.attempt, result.clock)
+        metrics = self.state.kernel.metrics
+        metrics.start_ms.observe(
+            {'service': self.state.service},
+            now - self.attempt.since,
+        )
         self.state.log.note(
             'A run has started.',
             run=self.attempt.run,
--- a/cyclamenshift/scheduling/recorder.py
+++ b/cyclamenshift/scheduling/recorder.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from ..clock import Clock
+from ..component import Host
 from ..decisions.book import Book
 from ..decisions.progress import JobProgress
 from ..duty import Tenure
@@ -44,14 +44,15 @@
         tenure: Tenure,
         store: StorePath,
         book: Book,
-        clock: Clock,
+        kernel: Host,
         log: PartLogger,
     ) -> None:
         """Record the jobs in *book* under *tenure*."""
         self.tenure = tenure
         self.store = store
         self.book = book
-        self.clock = clock
+        self.clock = kernel.clock
+        self.metrics = kernel.metrics
         self.log = log
         self.commits = 0
         self._wanted = trio.Event()
@@ -118,12 +119,20 @@
             self.book.dirty.pop(progress.job.job_id, None)
         if progress.state.final and not progress.told:
             progress.told = True
+            took = progress.ended - progress.job.accepted
+            self.metrics.job_ms.observe(
+                {
+                    'service': self.tenure.domain,
+                    'state': str(progress.state),
+                },
+                took,
+            )
             self.log.note(
                 'A job is final.',
                 job=progress.job.job_id,
                 queue=progress.job.queue,
                 state=progress.state,
-                took_ms=progress.ended - progress.job.accepted,
+                took_ms=took,
             )
 
     def _transaction(self, batch: list[JobProgress]) -> Transaction:
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -53,7 +53,7 @@
             tenure,
             self.store,
             self.book,
-            self.clock,
+            kernel,
             self.log,
         )
         self.stations: dict[Life, Station] = {}
@@ -107,6 +107,9 @@
         noted = self.book.take_report(life, report, self.clock.wall())
         for end in report.ended:
             if end.number > station.acknowledged:
+                self.kernel.metrics.ends.inc(
+                    {'service': self.service, 'how': str(end.ending)},
+                )
                 self.log.note(
                     'A run has ended.',
                     run=end.run,
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -266,3 +266,27 @@
     await jobs.until_state(JobState.completed, ends)
     await trio.sleep(3)
     assert len(jobs.world.started) == 2
+
+
+async def test_metrics_of_a_job(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Orders, ends and times of jobs are counted where they happen."""
+    jobs.add_workers('desk', 1)
+    (entry,) = await jobs.start_all(1)
+    handed_in = job(steps=(step(tasks=2),))
+    await jobs.submit(entry, handed_in)
+    await jobs.until_state(JobState.completed, handed_in)
+    lines = entry.kernel.metrics.render().splitlines()
+    for name, labels in (
+        ('run_orders_total', 'result="Accepted",service="desk"'),
+        ('run_ends_total', 'how="done",service="desk"'),
+        ('run_start_ms_count', 'service="desk"'),
+    ):
+        assert f'cyclamenshift_{name}{{{labels}}} 2' in map(_whole, lines)
+    assert any('job_ms_count' in line for line in lines)
+
+
+def _whole(line: str) -> str:
+    return line.removesuffix('.0')
