--- a/cyclamenshift/fleet.py
+++ b/cyclamenshift/fleet.py
@@ -6,12 +6,21 @@
 """
 
 import pathlib
-from typing import Annotated, Any, NamedTuple, TypeAlias, TypedDict, cast
+from typing import (
+    Annotated,
+    Any,
+    Final,
+    NamedTuple,
+    TypeAlias,
+    TypedDict,
+    cast,
+)
 
 from msgspec import Meta
 
 from . import document, schema
 from .decisions.merging import Document
+from .errors import SettingsError
 
 #: A share of a pool, in per cent.
 Percent: TypeAlias = Annotated[int, Meta(ge=0, le=100)]
@@ -81,9 +90,21 @@
 }
 
 
+#: Where the fleet is in a folder that holds the settings of an entry VM.
+FLEET_FOLDER: Final = 'fleet'
+
+
 def load(folder: pathlib.Path) -> CheckedFleet:
     """Return the configuration in *folder*; raises SettingsError."""
-    return check(document.read_folder(folder))
+    texts = document.read_folder(folder)
+    try:
+        return check(texts)
+    except SettingsError as error:
+        below = folder / FLEET_FOLDER
+        if not below.is_dir():
+            raise
+        remedy = f'{error.remedy} The fleet is in {below}.'
+        raise SettingsError(error.problem, remedy) from error
 
 
 def check(texts: dict[str, str]) -> CheckedFleet:
--- a/cyclamenshift/frontends/callers.py
+++ b/cyclamenshift/frontends/callers.py
@@ -48,6 +48,10 @@
     f'Send an Idempotency-Key of at most {KEY_LIMIT} characters; '
     'this work may not be repeated.',
 )
+KEYS_DIFFER = NotRun(
+    Reason.bad_request,
+    'Send one Idempotency-Key; there are two that differ.',
+)
 
 
 @register
@@ -202,6 +206,8 @@
             f'Send a Request-Kind that {service} has: {kinds}.',
         )
     repeatable = bool(known and known['repeatable'])
+    if len(set(headers.getlist('Idempotency-Key'))) > 1:
+        return KEYS_DIFFER
     key = '' if repeatable else headers.get('Idempotency-Key', '')
     if not repeatable and not 0 < len(key) <= KEY_LIMIT:
         return KEY_MISSING
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -93,6 +93,23 @@
     assert 'connection: close' in answer
 
 
+async def test_two_keys_are_refused(site: Site) -> None:
+    """One work under two keys could run twice, so neither is taken."""
+    entry = await start(site)
+    async with httpx.AsyncClient(base_url=entry.callers) as client:
+        headers = [
+            ('Request-Kind', 'booking'),
+            ('Idempotency-Key', 'key-1'),
+            ('Idempotency-Key', 'key-2'),
+        ]
+        refused = await client.post(REQUESTS, content=b'x', headers=headers)
+        assert refused.status_code == 400
+        assert refused.headers['Outcome'] == 'not-run'
+        assert 'one Idempotency-Key' in refused.json()['remedy']
+        again = await client.post(REQUESTS, content=b'x', headers=headers[:2])
+        assert again.headers['Outcome'] == 'done'
+
+
 async def test_what_became_of_a_key(site: Site) -> None:
     """A key that was claimed is told with its outcome, another is not."""
     entry = await start(site)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -89,6 +89,21 @@
     assert printed.err.count('\n') == 1
 
 
+def test_fleet_is_in_a_folder_below(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Whoever checks the folder of the settings is told the right one."""
+    (tmp_path / '10-entry.yaml').write_text('entry: {id: entry-1}\n')
+    below = tmp_path / 'fleet'
+    below.mkdir()
+    (below / '10-good.yaml').write_text(GOOD)
+    assert cmdline.main(['config', 'check', str(tmp_path)]) == 2
+    printed = capsys.readouterr().err
+    assert '10-entry.yaml:1: entry: there is no such key' in printed
+    assert f'The fleet is in {below}.' in printed
+
+
 def test_good_fleet(
     tmp_path: pathlib.Path,
     capsys: pytest.CaptureFixture[str],
