Drop the rows of jobs that have been final for long

Cause: rows of final jobs stayed for ever, so the tables, and the memory and take-over time of schedulers, grew with every job ever taken. Where the platform's file gave no time to keep them it was taken as 1 ms.

Change: the owner drops them in batches, 10 s after the time for which callers may ask. test_final_jobs_are_dropped failed without the sweeper.

--- a/cyclamenshift/platform/settings.py
+++ b/cyclamenshift/platform/settings.py
@@ -31,6 +31,8 @@
 #: How often peers show that they live, and when a silent one is lost, ms: a
 #: successor takes over well within the shortest lease.
 PEERS: Final = {'heartbeat': 250, 'silence': 800}
+#: How long a final job can be asked for, where the file does not say, s.
+STATUS_S: Final = 120
 #: How long a process that stops still takes requests, ms: the platform looks
 #: at readiness each second and goes by two looks.
 LEAVING_MS: Final = 2_600
@@ -139,7 +141,7 @@
             'plugin': NAME,
             'lease': min(LEASE_MS, longest),
             'lease_horizon': HORIZON_MS,
-            'keep_final': round(bounds.get('status_s', 0) * SECOND_MS) or 1,
+            'keep_final': round(bounds.get('status_s', STATUS_S) * SECOND_MS),
             'manager_lease': bounds.get('leaseMs', MANAGER_LEASE_MS),
             'provider': body['cloud']['address'],
         },
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -24,6 +24,7 @@
 from .state import ServiceState
 from .rows import Rows
 from .station import Station
+from .sweeper import Sweeper
 from .vacating import evict, vacate
 
 #: How often the rows are looked at for jobs whose hint was lost, ms.
@@ -59,6 +60,7 @@
             nursery.start_soon(self._follow_workers, nursery)
             nursery.start_soon(self.rows.poll)
             nursery.start_soon(self.state.keep_proof)
+            nursery.start_soon(Sweeper(self.state).run)
             nursery.start_soon(report_pool, self.state, self.tell_manager)
             while True:
                 changed = self.state.changed
--- /dev/null
+++ b/cyclamenshift/scheduling/sweeper.py
@@ -0,0 +1,78 @@
+"""
+cyclamenshift.scheduling.sweeper
+================================
+
+Drops the rows of jobs that were final for long enough.
+"""
+
+from typing import Final
+
+from ..decisions.progress import JobProgress
+from ..jobrows import cancel_key, job_key, progress_key
+from ..store import Committed, Conflict, Transaction, Write
+from .state import ServiceState
+
+#: How often jobs are looked at, ms; rows live for minutes.
+SWEEP_MS: Final = 5_000
+#: How much longer than asked for a final job is kept, ms: a caller may hand
+#: it in once more, some seconds after its answer.
+SLACK_MS: Final = 10_000
+#: The most jobs in one transaction: each drops three rows, and the store
+#: takes 100 entries a call.
+BATCH_LIMIT: Final = 32
+
+
+class Sweeper:
+    """One task drops rows, batch after batch."""
+
+    def __init__(self, state: ServiceState) -> None:
+        """Sweep the jobs of one service."""
+        self.state = state
+        self.clock = state.clock
+        self.keep = state.settings['keep_final'] + SLACK_MS
+
+    async def run(self) -> None:
+        """Look again and again, until cancelled."""
+        while True:
+            await self.clock.sleep(SWEEP_MS)
+            stale = self._stale()[:BATCH_LIMIT]
+            if stale:
+                await self._drop(stale)
+
+    def _stale(self) -> list[str]:
+        """Return the jobs that nobody may ask for any more."""
+        before = self.clock.wall() - self.keep
+        return [
+            job_id
+            for job_id, progress in self.state.book.jobs.items()
+            if _is_over(progress) and progress.ended < before
+        ]
+
+    async def _drop(self, job_ids: list[str]) -> None:
+        tenure = self.state.tenure
+        keys = [
+            key_of(tenure.domain, job_id)
+            for job_id in job_ids
+            for key_of in (job_key, progress_key, cancel_key)
+        ]
+        result = await self.state.store.commit(
+            Transaction(
+                (tenure.check(),),
+                tuple(Write(key, None) for key in keys),
+            ),
+        )
+        if isinstance(result, Committed):
+            for job_id in job_ids:
+                self.state.book.forget(job_id)
+        elif isinstance(result, Conflict):
+            tenure.stands(result)
+        self.state.log.note(
+            'Dropped final jobs.',
+            jobs=len(job_ids),
+            result=type(result).__name__,
+        )
+
+
+def _is_over(progress: JobProgress) -> bool:
+    """Return whether a job is final, and nothing of it runs."""
+    return progress.told_state.final and not progress.attempts()
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -10,7 +10,7 @@
 import trio
 from trio.testing import MockClock
 
-from cyclamenshift.controls.desk import Stored
+from cyclamenshift.controls.desk import NoSuchJob, Stored
 from cyclamenshift.job import JobState, Room
 from cyclamenshift.scheduling.keeper import Keeper
 
@@ -268,6 +268,28 @@
     assert len(jobs.world.started) == 2
 
 
+async def test_final_jobs_are_dropped(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Their rows go some time after callers may ask for them, not before."""
+    jobs.add_workers('desk', 1)
+    entry, _other = await jobs.start_all(2)
+    keep = entry.kernel.settings['jobs']['keep_final'] / 1000
+    work = [job(f'job-{number}') for number in range(40)]
+    for handed_in in work:
+        await jobs.submit(entry, handed_in)
+    await jobs.until_state(JobState.completed, *work)
+    jobs.kill(jobs.owner('desk'))
+    await trio.sleep(keep)
+    assert await jobs.state_of(work[0]) is JobState.completed
+    await trio.sleep(30)
+    for handed_in in work:
+        assert isinstance(await jobs.state_of(handed_in), NoSuchJob)
+    assert not jobs.store.table.scan('job', 'desk').rows
+    assert not jobs.store.table.scan('progress', 'desk').rows
+
+
 async def test_metrics_of_a_job(
     jobs: JobCluster,
     autojump_clock: MockClock,
