Start gangs whole, on one rack if asked, and start them anew as one run

Cause: members of a gang were placed one by one, so part of a gang could hold room and time out, and after a loss their run numbers differed.

Change: a gang starts when every member waits and all have a place, under one run number and one checkpoint; when one member is gone the others are stopped; attempts are counted for the gang. test_gang_starts_whole_or_not_at_all and test_gang_loses_a_member failed before.

--- a/cyclamenshift/decisions/book.py
+++ b/cyclamenshift/decisions/book.py
@@ -140,6 +140,8 @@
             self.at.pop(attempt.life)
             self.used.pop(attempt.life)
         self._offer((attempt.task,))
+        if attempt.task.step.gang and not attempt.task.done:
+            self._break_up(attempt)
 
     def take_report(self, life: Life, report: Report, wall: int) -> Noted:
         """Bring the book in line with what a worker reports."""
@@ -200,6 +202,13 @@
         used = self.used.get(life, NOTHING)
         self.used[life] = used.plus(room_of(attempt.task.step))
 
+    def _break_up(self, gone: Attempt) -> None:
+        """Let the other members of a gang stop, so that all start anew."""
+        for sibling in gone.task.job.siblings(gone.task):
+            attempt = sibling.attempts.get(gone.number)
+            if attempt:
+                self.surplus[attempt.run] = attempt
+
     def _settle(self, progress: JobProgress, ended: Ended) -> None:
         self._offer(ended.opened)
         for attempt in ended.surplus:
@@ -222,7 +231,7 @@
         task.checkpoint = checkpoint_of(end, task)
         counted = end.ending in COUNTED and not task.job.state.final
         if counted and end.ending is Ending.failed:
-            self._settle(task.job, task.job.take_failure(task, life, wall))
+            self._settle(task.job, task.job.take_failure(attempt, wall))
         elif counted and not task.step.long_running:
             self._settle(task.job, task.job.take_done(task, wall))
         self.remove(attempt)
--- a/cyclamenshift/decisions/placement.py
+++ b/cyclamenshift/decisions/placement.py
@@ -5,10 +5,10 @@
 Which waiting task starts at which worker.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import NamedTuple
 
-from ..job import Room
+from ..job import Room, Step
 from ..worker import Worker
 from .book import room_of
 from .progress import Life, Task
@@ -29,10 +29,11 @@
 
 
 class Placement(NamedTuple):
-    """A task to be started at the worker with this life."""
+    """A task to be started as this run, at the worker with this life."""
 
     task: Task
     life: Life
+    number: int
 
 
 class Ranked(NamedTuple):
@@ -56,14 +57,75 @@
     it can.  What does not fit waits, and does not hold up what comes after.
     """
     placements: list[Placement] = []
+    seen: set[tuple[str, int, int]] = set()
     for task in tasks:
+        if task.step.gang:
+            key = task.task_id[:-1]
+            if key not in seen:
+                seen.add(key)
+                placements.extend(place_gang(task, benches.values()))
+            continue
         bench = _choose(task, benches.values(), placements)
         if bench is not None:
-            bench.free = bench.free.minus(room_of(task.step))
-            placements.append(Placement(task, bench.life))
+            placements.append(_put(task, bench, task.last_run + 1))
     return placements
 
 
+def place_gang(task: Task, benches: Collection[Bench]) -> list[Placement]:
+    """
+    Return where all members of the gang of *task* start, or nothing.
+
+    They start as one run, and go on from one checkpoint.
+    """
+    members = task.job.siblings(task)
+    if not all(member.waiting for member in members):
+        return []
+    number = max(member.last_run for member in members) + 1
+    checkpoints = (member.checkpoint for member in members)
+    checkpoint = next(filter(None, checkpoints), '')
+    for candidates in _within(task.step, benches):
+        placements = _place_all(members, candidates, number)
+        if placements:
+            for member in members:
+                member.checkpoint = checkpoint
+            return placements
+    return []
+
+
+def _within(
+    step: Step,
+    benches: Collection[Bench],
+) -> Iterator[Collection[Bench]]:
+    """Yield the groups of workers to try, those of one rack first."""
+    if step.single_rack:
+        for rack in sorted({bench.worker.rack for bench in benches}):
+            yield [bench for bench in benches if bench.worker.rack == rack]
+    yield benches
+
+
+def _place_all(
+    members: Iterable[Task],
+    benches: Collection[Bench],
+    number: int,
+) -> list[Placement]:
+    """Place every member, or take none of the room."""
+    before = [(bench, bench.free) for bench in benches]
+    placements: list[Placement] = []
+    for member in members:
+        bench = _choose(member, benches, placements)
+        if bench is None:
+            for each, free in before:
+                each.free = free
+            return []
+        placements.append(_put(member, bench, number))
+    return placements
+
+
+def _put(task: Task, bench: Bench, number: int) -> Placement:
+    bench.free = bench.free.minus(room_of(task.step))
+    return Placement(task, bench.life, number)
+
+
 def _choose(
     task: Task,
     benches: Iterable[Bench],
@@ -90,8 +152,7 @@
     """Return how many tasks of the step each worker has, or is to have."""
     if not task.step.worker_limit:
         return {}
-    step_key = (task.task_id.occurrence, task.task_id.step)
-    siblings = task.job.steps[step_key]
+    siblings = task.job.siblings(task)
     lives = [
         attempt.life
         for sibling in siblings
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -75,6 +75,7 @@
         self.step = step
         self.last_run = 0
         self.failures = 0
+        self.failed_run = 0
         self.checkpoint = ''
         self.done = False
         self.attempts: dict[int, Attempt] = {}
@@ -187,6 +188,11 @@
         tasks = self.steps.get((task_id.occurrence, task_id.step), ())
         return tasks[task_id.ordinal] if task_id.ordinal < len(tasks) else None
 
+    def siblings(self, task: Task) -> list[Task]:
+        """Return the tasks of the same step and occurrence, *task* too."""
+        step_key = (task.task_id.occurrence, task.task_id.step)
+        return self.steps.get(step_key, [task])
+
     def tasks(self) -> Iterator[Task]:
         """Yield the tasks of the open steps."""
         for tasks in self.steps.values():
@@ -216,10 +222,7 @@
         """Mark *task* as done; of a gang, one end stands for all."""
         step_number = task.task_id.step
         occurrence = task.task_id.occurrence
-        members = (
-            self.steps[occurrence, step_number] if task.step.gang else (task,)
-        )
-        for member in members:
+        for member in self.siblings(task) if task.step.gang else (task,):
             member.done = True
         surplus = tuple(task.attempts.values()) if task.step.speculative else ()
         if not self.step_done(occurrence, step_number):
@@ -228,11 +231,19 @@
         self._finish_occurrence(occurrence, wall)
         return Ended(opened, surplus)
 
-    def take_failure(self, task: Task, life: Life, wall: int) -> Ended:
-        """Count a failure; a task that used up its attempts fails the job."""
-        task.failures += 1
+    def take_failure(self, attempt: Attempt, wall: int) -> Ended:
+        """
+        Count a failure; a task that used up its attempts fails the job.
+
+        The members of a gang have their attempts in common.
+        """
+        task, number, life = attempt.task, attempt.number, attempt.life
         task.failed_at.add(life)
-        spent = task.failures >= self.queue.attempts
+        counted = self.siblings(task)[0] if task.step.gang else task
+        if counted.failed_run < number:
+            counted.failed_run = number
+            counted.failures += 1
+        spent = counted.failures >= self.queue.attempts
         if spent and not task.step.long_running:
             return self.finish(JobState.failed, wall)
         return Ended()
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -171,7 +171,7 @@
             attempt = self.book.plan(
                 task,
                 placement.life,
-                task.last_run + 1,
+                placement.number,
                 now,
             )
             station = self.state.stations[placement.life]
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -6,12 +6,13 @@
 """
 
 import itertools
+from collections import Counter
 
 import trio
 from trio.testing import MockClock
 
 from cyclamenshift.controls.desk import NoSuchJob, Stored
-from cyclamenshift.job import JobState, Room
+from cyclamenshift.job import JobState, Room, TaskId
 from cyclamenshift.scheduling.keeper import Keeper
 
 from .builders import catalog, job, step
@@ -290,6 +291,47 @@
     assert not jobs.store.table.scan('progress', 'desk').rows
 
 
+async def test_gang_starts_whole_or_not_at_all(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Its members wait until there is room for all, on one rack if asked."""
+    jobs.add_workers('desk', 1, room=Room(2_000, 16_384), rack='r1')
+    await jobs.start_all(1)
+    gang = job(steps=(step(tasks=4, gang=True, single_rack=True),))
+    await jobs.submit(next(iter(jobs.entries.values())), gang)
+    await trio.sleep(2)
+    assert not jobs.world.started
+    jobs.add_vm('desk-vm-2', 'desk', room=Room(2_000, 16_384), rack='r2')
+    jobs.add_vm('desk-vm-3', 'desk', room=Room(2_000, 16_384), rack='r2')
+    await jobs.until_state(JobState.completed, gang)
+    at = {started.worker_id for started in jobs.world.started}
+    assert at == {jobs.worker_on('desk-vm-2'), jobs.worker_on('desk-vm-3')}
+    assert {start.run.number for start in jobs.world.started} == {1}
+
+
+async def test_gang_loses_a_member(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """All members start again, as one new run."""
+    jobs.add_workers('desk', 2, room=Room(2_000, 16_384))
+    await jobs.start_all(1)
+    gang = job(steps=(step(tasks=4, gang=True),))
+    for ordinal in range(4):
+        jobs.world.run_ms[TaskId(gang.job_id, 0, 0, ordinal)] = 20_000
+    await jobs.submit(next(iter(jobs.entries.values())), gang)
+    await jobs.until(lambda: len(jobs.world.started) == 4)
+    gone = jobs.worker_on('desk-vm-1')
+    jobs.world.crash(gone)
+    jobs.site.workers.pop(gone)
+    jobs.add_vm('desk-vm-3', 'desk', room=Room(2_000, 16_384))
+    await jobs.until_state(JobState.completed, gang)
+    numbers = Counter(start.run.number for start in jobs.world.started)
+    assert numbers == {1: 4, 2: 4}
+    assert not jobs.world.faults()
+
+
 async def test_metrics_of_a_job(
     jobs: JobCluster,
     autojump_clock: MockClock,
