--- a/cyclamenshift/controls/desk.py
+++ b/cyclamenshift/controls/desk.py
@@ -92,20 +92,19 @@
         self.ownership = kernel.get(Ownership)
 
     async def submit(self, queue: Queue, job: Job, wait: int) -> SubmitResult:
-        """Store *job*, within *wait* ms, and tell the owner of its service."""
-        if not self.store.usable:
-            return NotStored('the store can not be reached', RETRY_AFTER_MS)
-        result: Written | Rival | NotWritten | None = None
-        with self.clock.move_on_after(wait):
-            result = await self._write(queue.service, job, wait)
-        if result is None:
-            return MaybeStored('the store did not answer in time')
-        if isinstance(result, NotWritten):
-            return NotStored('the store can not be reached', RETRY_AFTER_MS)
-        if isinstance(result, Rival):
-            present = typed(result.row, JobRow)['job']
-            return Stored() if present.same_as(job) else Different()
-        return Stored()
+        """Store *job* within *wait* ms; an outcome that is not so is logged."""
+        result = await self._submit(queue, job, wait)
+        if not isinstance(result, Stored):
+            self.log.note(
+                'A job is not accepted.',
+                job=job.job_id,
+                queue=queue.name,
+                result=type(result).__name__,
+                reason=getattr(result, 'reason', ''),
+                owner=self.ownership.owner_of(queue.service),
+                store_usable=self.store.usable,
+            )
+        return result
 
     async def state_of(
         self,
@@ -159,6 +158,26 @@
             return answer.waiting
         return await self._read_waiting(queue)
 
+    async def _submit(
+        self,
+        queue: Queue,
+        job: Job,
+        wait: int,
+    ) -> SubmitResult:
+        if not self.store.usable:
+            return NotStored('the store can not be reached', RETRY_AFTER_MS)
+        result: Written | Rival | NotWritten | None = None
+        with self.clock.move_on_after(wait):
+            result = await self._write(queue.service, job, wait)
+        if result is None:
+            return MaybeStored('the store did not answer in time')
+        if isinstance(result, NotWritten):
+            return NotStored('the store can not be reached', RETRY_AFTER_MS)
+        if isinstance(result, Rival):
+            present = typed(result.row, JobRow)['job']
+            return Stored() if present.same_as(job) else Different()
+        return Stored()
+
     async def _write(
         self,
         service: str,
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -50,6 +50,7 @@
         self.directory = kernel.get(Directory)
         self.rows = Rows(self.state, self.directory)
         self.loaded = False
+        self.short_of_room: set[str] = set()
 
     async def run(self) -> None:
         """Read the rows, then schedule until cancelled."""
@@ -159,6 +160,7 @@
 
     def _place(self, nursery: trio.Nursery) -> None:
         if not self.book.waiting:
+            self.short_of_room.clear()
             return
         now = self.clock.now()
         benches = self._benches(now)
@@ -178,6 +180,21 @@
             start = StartTask(self.state, station, attempt)
             nursery.start_soon(start.run)
 
+        self._note_shortage(benches)
+
+    def _note_shortage(self, benches: dict[Life, Bench]) -> None:
+        """Log each job once when its tasks begin to wait for room."""
+        short = {task.task_id.job_id for task in self.book.waiting.values()}
+        for job_id in short - self.short_of_room:
+            self.state.log.note(
+                'A job waits for room.',
+                job=job_id,
+                tasks_waiting=len(self.book.waiting),
+                workers_usable=len(benches),
+                workers=len(self.state.stations),
+            )
+        self.short_of_room = short
+
     def _benches(self, now: int) -> dict[Life, Bench]:
         return {
             life: Bench(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from cyclamenshift import cmdline, daemon
+from cyclamenshift import cmdline, daemon, settings
 
 GOOD = """\
 pools:
@@ -160,3 +160,18 @@
     folder = pathlib.Path(__file__).parents[1] / 'examples' / example
     assert daemon.main(['--check', '--settings', str(folder)]) == 0
     assert cmdline.main(['config', 'check', str(folder / 'fleet')]) == 0
+
+
+def test_settings_page_is_true() -> None:
+    """The page has a row for each setting, with its default."""
+    page = pathlib.Path(__file__).parents[1] / 'docs' / 'SETTINGS.md'
+    rows = [
+        tuple(cell.strip(' `') for cell in line.split('|')[1:3])
+        for line in page.read_text(encoding='utf-8').splitlines()
+        if line.startswith('| `')
+    ]
+    assert rows == [
+        (f'{section}.{name}', str(default))
+        for section, values in settings.DEFAULTS.items()
+        for name, default in values.items()
+    ]
