--- a/cyclamenshift/controls/ownership.py
+++ b/cyclamenshift/controls/ownership.py
@@ -16,10 +16,17 @@
 from ..component import Dump, Host
 from ..control import Control
 from ..decisions.membership import live_members
-from ..decisions.owners import Claim, Held, assign, may_take
+from ..decisions.owners import (
+    Claim,
+    Held,
+    assign,
+    follower,
+    may_take,
+    was_held,
+)
 from ..directory import Directory
 from ..duty import Duty, Tenure
-from ..jobmessages import Holding, Holdings
+from ..jobmessages import Holdings
 from ..jobrows import OwnerRow, owner_key
 from ..model import EntryVm
 from ..peer import Body, NoReply, Peer, Reporter
@@ -37,6 +44,7 @@
     Write,
     path_to_store,
 )
+from .holdings import HoldingsNews
 from .membership import Membership
 
 #: How often the owners are looked at, ms.
@@ -152,7 +160,7 @@
         self._wake.set()
 
     def _news(self) -> Reporter:
-        return HoldingsNews(self)
+        return HoldingsNews(self.tenures)
 
     def _look(self, nursery: trio.Nursery) -> None:
         catalog = self.directory.catalog
@@ -238,17 +246,21 @@
             return None
         if not self._may_take(domain, rows[0]):
             return None
-        row = self._own_row(rows[0])
-        version = await self._write(Check(key, rows[0].version), row)
+        row = follower(rows[0], self.membership.own)
+        version = await self._write(rows[0], row)
         if version == ABSENT:
             return None
         tenure = Tenure(domain, row, version, asked_at)
-        tenure.resumed = self._was_mine(rows[0])
+        tenure.resumed = was_held(rows[0], self.membership.own)
         return tenure
 
-    async def _write(self, check: Check, row: OwnerRow) -> int:
-        """Write an owner's row; return its version, ABSENT if refused."""
-        transaction = Transaction((check,), (Write(check.key, row),))
+    async def _write(self, present: Row, row: OwnerRow) -> int:
+        """Write over *present*; return the version, ABSENT if refused."""
+        key = present.key
+        transaction = Transaction(
+            (Check(key, present.version),),
+            (Write(key, row),),
+        )
         result = await self.store.commit(transaction)
         while isinstance(result, Uncertain):
             await self.clock.sleep(READ_BACK_MS)
@@ -259,27 +271,6 @@
             return result.rows[0].version
         return ABSENT
 
-    def _own_row(self, present: Row) -> OwnerRow:
-        """Return the row with which this entry VM follows *present*."""
-        epoch = 0
-        if present.version != ABSENT:
-            epoch = typed(present, OwnerRow)['epoch']
-        own = self.membership.own
-        return OwnerRow(
-            holder=own.entry_id,
-            incarnation=own.incarnation,
-            epoch=epoch + 1,
-        )
-
-    def _was_mine(self, row: Row) -> bool:
-        """Return whether an earlier process of this entry VM owns *row*."""
-        if row.version == ABSENT:
-            return False
-        own = self.membership.own
-        holder = typed(row, OwnerRow)
-        is_earlier = holder['incarnation'] < own.incarnation
-        return holder['holder'] == own.entry_id and is_earlier
-
     async def _read_epochs(self) -> None:
         """Learn which domains ever had an owner, once there are any."""
         while self.directory.catalog is None:
@@ -295,7 +286,7 @@
         for domain, row in zip(domains, rows, strict=True):
             if row.version != ABSENT:
                 self._note_epoch(domain, typed(row, OwnerRow)['epoch'])
-            if self._was_mine(row):
+            if was_held(row, self.membership.own):
                 self.formerly.add(domain)
         self._wake.set()
 
@@ -323,25 +314,3 @@
         known = self.epochs.get(domain)
         if known is None or known[0] < epoch:
             self.epochs[domain] = (epoch, self.clock.now())
-
-
-class HoldingsNews:
-    """Tells one connection what this entry VM owns, when that changes."""
-
-    def __init__(self, ownership: Ownership) -> None:
-        """Have told nothing yet."""
-        self.ownership = ownership
-        self.told: Holdings | None = None
-
-    def __call__(self) -> tuple[Body, ...]:
-        """Return the holdings if they have changed."""
-        holdings = Holdings(
-            tuple(
-                Holding(domain, tenure.epoch)
-                for domain, tenure in self.ownership.tenures.items()
-            ),
-        )
-        if holdings == self.told:
-            return ()
-        self.told = holdings
-        return (holdings,)
--- a/cyclamenshift/decisions/book.py
+++ b/cyclamenshift/decisions/book.py
@@ -32,6 +32,7 @@
     Task,
     checkpoint_of,
 )
+from .records import restore
 
 
 #: The endings that have to be recorded before they are acknowledged.
@@ -86,7 +87,7 @@
         now: int,
     ) -> None:
         """Take over a job that an earlier scheduler recorded."""
-        progress.restore(row, wall, now)
+        restore(progress, row, wall, now)
         self.jobs[progress.job.job_id] = progress
         if progress.next_due() is not None:
             self.timed[progress.job.job_id] = progress
--- a/cyclamenshift/decisions/owners.py
+++ b/cyclamenshift/decisions/owners.py
@@ -12,6 +12,8 @@
 
 from ..jobrows import OwnerRow
 from ..model import EntryVm
+from ..rows import typed
+from ..store import ABSENT, Row
 
 #: How long a connected holder that does not tell of its domain is waited
 #: for, ms: several heartbeats.
@@ -92,3 +94,24 @@
     if claim.connected and is_present:
         return claim.known_for >= SILENT_HOLDER_MS
     return claim.known_for >= UNSEEN_HOLDER_MS
+
+
+def follower(present: Row, own: EntryVm) -> OwnerRow:
+    """Return the row with which *own* takes a domain over from *present*."""
+    epoch = 0
+    if present.version != ABSENT:
+        epoch = typed(present, OwnerRow)['epoch']
+    return OwnerRow(
+        holder=own.entry_id,
+        incarnation=own.incarnation,
+        epoch=epoch + 1,
+    )
+
+
+def was_held(row: Row, own: EntryVm) -> bool:
+    """Return whether an earlier process of the entry VM *own* holds *row*."""
+    if row.version == ABSENT:
+        return False
+    holder = typed(row, OwnerRow)
+    is_earlier = holder['incarnation'] < own.incarnation
+    return holder['holder'] == own.entry_id and is_earlier
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -6,20 +6,16 @@
 """
 
 import enum
-from collections.abc import Iterable, Iterator
-from typing import Final, NamedTuple, TypeAlias
+from collections.abc import Iterator
+from typing import NamedTuple, TypeAlias
 
 from ..directory import Queue
 from ..job import Ending, Job, JobState, RunEnd, RunId, Step, TaskId
-from ..jobrows import OpenRun, ProgressRow, TriedTask
 from .schedules import schedule_of
 
 #: The id of a worker and the start of its life.
 Life: TypeAlias = tuple[str, int]
 
-#: The base of the digits in which done tasks are recorded.
-HEXADECIMAL: Final = 16
-
 
 class Phase(enum.StrEnum):
     """Where an attempt stands."""
@@ -255,82 +251,11 @@
         self.final_generation = self.generation + 1
         return Ended(surplus=tuple(self.attempts()))
 
-    def row(self) -> ProgressRow:
-        """Return what is recorded of the job."""
-        if self.state.final:
-            return ProgressRow(
-                state=self.state,
-                done=[],
-                finished=[],
-                open=[_open_run(attempt) for attempt in self.attempts()],
-                tried=[],
-                ended=self.ended,
-            )
-        return ProgressRow(
-            state=self.state,
-            done=[
-                (occurrence, number, _bits(tasks))
-                for (occurrence, number), tasks in self.steps.items()
-                if any(task.done for task in tasks)
-            ],
-            finished=sorted(self.finished),
-            open=[_open_run(attempt) for attempt in self.attempts()],
-            tried=[
-                TriedTask(
-                    task=task.place(),
-                    last_run=task.last_run,
-                    failures=task.failures,
-                    checkpoint=task.checkpoint,
-                )
-                for task in self.tasks()
-                if task.last_run and not task.done
-            ],
-            ended=0,
-        )
-
-    def restore(self, row: ProgressRow, wall: int, now: int) -> None:
-        """Take over what *row* says; its open runs come back as inherited."""
-        self.state = row['state']
-        self.ended = row['ended']
-        self.begun = self.state is not JobState.queued
-        self.finished = set(row['finished'])
-        for occurrence, number, bits in row['done']:
-            done = int(bits, HEXADECIMAL)
-            for task in self._opened(occurrence, number):
-                task.done = bool(done >> task.task_id.ordinal & 1)
-        if not self.state.final:
-            self.open_due(wall)
-            for begun in self._begun_occurrences():
-                self.open_ready_steps(begun)
-        for tried in row['tried']:
-            self._restore_tried(tried)
-        for open_run in row['open']:
-            self._restore_open(open_run, now)
-
-    def _restore_tried(self, tried: TriedTask) -> None:
-        occurrence, number, ordinal = tried['task']
-        task = self._opened(occurrence, number)[ordinal]
-        task.last_run = tried['last_run']
-        task.failures = tried['failures']
-        task.checkpoint = tried['checkpoint']
-
-    def _restore_open(self, open_run: OpenRun, now: int) -> None:
-        occurrence, number, ordinal = open_run['task']
-        task = self._opened(occurrence, number)[ordinal]
-        attempt = Attempt(task, open_run['run'], open_run['worker'], now)
-        attempt.phase = Phase.inherited
-        task.attempts[attempt.number] = attempt
-        task.last_run = max(task.last_run, attempt.number)
-
-    def _opened(self, occurrence: int, number: int) -> list[Task]:
+    def opened(self, occurrence: int, number: int) -> list[Task]:
+        """Return the tasks of a step, which is opened if it was not."""
         tasks = self.steps.get((occurrence, number))
         return tasks or self.open_step(occurrence, number)
 
-    def _begun_occurrences(self) -> list[int]:
-        return sorted(
-            {occurrence for occurrence, _step in self.steps} - self.finished,
-        )
-
     def _finish_occurrence(self, occurrence: int, wall: int) -> None:
         steps = range(len(self.job.steps))
         if not all(self.step_done(occurrence, number) for number in steps):
@@ -347,16 +272,3 @@
     if end.ending is Ending.done:
         return ''
     return end.checkpoint or task.checkpoint
-
-
-def _open_run(attempt: Attempt) -> OpenRun:
-    return OpenRun(
-        task=attempt.task.place(),
-        run=attempt.number,
-        worker=attempt.life,
-    )
-
-
-def _bits(tasks: Iterable[Task]) -> str:
-    number = sum(1 << task.task_id.ordinal for task in tasks if task.done)
-    return f'{number:x}'
--- /dev/null
+++ b/cyclamenshift/decisions/records.py
@@ -0,0 +1,116 @@
+"""
+cyclamenshift.decisions.records
+===============================
+
+What is recorded of a job, and how its successor takes it up.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+from ..job import JobState
+from ..jobrows import OpenRun, ProgressRow, TriedTask
+from .progress import Attempt, JobProgress, Phase, Task
+
+#: The base of the digits in which done tasks are recorded.
+HEXADECIMAL: Final = 16
+
+
+def row_of(progress: JobProgress) -> ProgressRow:
+    """Return what is recorded of a job; little, once it is final."""
+    final = progress.state.final
+    return ProgressRow(
+        state=progress.state,
+        done=[] if final else _done_tasks(progress),
+        finished=[] if final else sorted(progress.finished),
+        open=[_open_run(attempt) for attempt in progress.attempts()],
+        tried=[] if final else _tried_tasks(progress),
+        ended=progress.ended,
+    )
+
+
+def restore(
+    progress: JobProgress,
+    row: ProgressRow,
+    wall: int,
+    now: int,
+) -> None:
+    """Take over what *row* says; its open runs come back as inherited."""
+    progress.state = row['state']
+    progress.ended = row['ended']
+    progress.begun = progress.state is not JobState.queued
+    progress.finished = set(row['finished'])
+    for occurrence, number, bits in row['done']:
+        done = int(bits, HEXADECIMAL)
+        for task in progress.opened(occurrence, number):
+            task.done = bool(done >> task.task_id.ordinal & 1)
+    if not progress.state.final:
+        progress.open_due(wall)
+        for begun in _begun_occurrences(progress):
+            progress.open_ready_steps(begun)
+    for tried in row['tried']:
+        _restore_tried(progress, tried)
+    for open_run in row['open']:
+        _restore_open(progress, open_run, now)
+
+
+def _done_tasks(progress: JobProgress) -> list[tuple[int, int, str]]:
+    return [
+        (occurrence, number, _bits(tasks))
+        for (occurrence, number), tasks in progress.steps.items()
+        if any(task.done for task in tasks)
+    ]
+
+
+def _tried_tasks(progress: JobProgress) -> list[TriedTask]:
+    return [
+        TriedTask(
+            task=task.place(),
+            last_run=task.last_run,
+            failures=task.failures,
+            checkpoint=task.checkpoint,
+        )
+        for task in progress.tasks()
+        if task.last_run and not task.done
+    ]
+
+
+def _open_run(attempt: Attempt) -> OpenRun:
+    return OpenRun(
+        task=attempt.task.place(),
+        run=attempt.number,
+        worker=attempt.life,
+    )
+
+
+def _restore_tried(progress: JobProgress, tried: TriedTask) -> None:
+    occurrence, number, ordinal = tried['task']
+    task = progress.opened(occurrence, number)[ordinal]
+    task.last_run = tried['last_run']
+    task.failures = tried['failures']
+    task.checkpoint = tried['checkpoint']
+
+
+def _restore_open(
+    progress: JobProgress,
+    open_run: OpenRun,
+    now: int,
+) -> None:
+    occurrence, number, ordinal = open_run['task']
+    task = progress.opened(occurrence, number)[ordinal]
+    attempt = Attempt(task, open_run['run'], open_run['worker'], now)
+    attempt.phase = Phase.inherited
+    task.attempts[attempt.number] = attempt
+    task.last_run = max(task.last_run, attempt.number)
+
+
+def _begun_occurrences(progress: JobProgress) -> list[int]:
+    return sorted(
+        {occurrence for occurrence, _step in progress.steps}
+        - progress.finished,
+    )
+
+
+def _bits(tasks: Iterable[Task]) -> str:
+    number = sum(1 << task.task_id.ordinal for task in tasks if task.done)
+    return f'{number:x}'
--- a/cyclamenshift/scheduling/recorder.py
+++ b/cyclamenshift/scheduling/recorder.py
@@ -12,6 +12,7 @@
 from ..component import Host
 from ..decisions.book import Book
 from ..decisions.progress import JobProgress
+from ..decisions.records import row_of
 from ..duty import Tenure
 from ..jobrows import progress_key
 from ..logs import PartLogger
@@ -141,7 +142,7 @@
         for progress in batch:
             key = self._key(progress)
             checks.append(Check(key, progress.version))
-            writes.append(Write(key, progress.row()))
+            writes.append(Write(key, row_of(progress)))
         return Transaction(tuple(checks), tuple(writes))
 
     def _key(self, progress: JobProgress) -> Key:
