--- a/cyclamenshift/controls/ownership.py
+++ b/cyclamenshift/controls/ownership.py
@@ -142,6 +142,7 @@
     def dump(self) -> Dump:
         """Return what this entry VM and its peers own."""
         return {
+            'entry': self.membership.own.entry_id,
             'own': {
                 domain: tenure.epoch for domain, tenure in self.tenures.items()
             },
--- a/cyclamenshift/kernel.py
+++ b/cyclamenshift/kernel.py
@@ -5,6 +5,7 @@
 Starts the components that the settings name, and stops them gracefully.
 """
 
+from collections import Counter
 from collections.abc import Sequence
 
 import trio
@@ -96,9 +97,11 @@
         log.note('Stopped.')
 
     def dump(self) -> Dump:
-        """Return the state of every component by its name."""
+        """Return the state of every component, by its name if no other has."""
+        names = Counter(component.name for component in self.components)
         return {
-            component.name: component.dump() for component in self.components
+            _title(component, names): component.dump()
+            for component in self.components
         }
 
     async def _flush_logs(self) -> None:
@@ -131,6 +134,12 @@
         scope.cancel()
 
 
+def _title(component: Component, names: Counter[str]) -> str:
+    if names[component.name] == 1:
+        return component.name
+    return f'{component.kind}.{component.name}'
+
+
 def load_families() -> None:
     """Import every family, so that all plug-ins are registered."""
     for family in FAMILIES:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -5,14 +5,20 @@
 Jobs over the whole path: stored, scheduled, run and told, with failures.
 """
 
+import argparse
 import itertools
+from functools import partial
 from collections import Counter
 
+import pytest
 import trio
 from trio.testing import MockClock
 
+from cyclamenshift.commands import jobs as commands
+from cyclamenshift.component import Dump
 from cyclamenshift.controls.desk import NoSuchJob, Stored
 from cyclamenshift.job import JobState, Room, TaskId
+from cyclamenshift.kernel import Kernel
 from cyclamenshift.scheduling.keeper import Keeper
 
 from .builders import catalog, job, step
@@ -354,3 +360,37 @@
 
 def _whole(line: str) -> str:
     return line.removesuffix('.0')
+
+
+async def test_commands_show_owners_jobs_and_fleet(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What the operators' commands print comes from one dump."""
+    jobs.add_workers('desk', 2)
+    (entry,) = await jobs.start_all(1)
+    await trio.sleep(1)
+
+    monkeypatch.setattr(commands, 'call', partial(_dump, entry.kernel))
+    options = argparse.Namespace(entry='')
+    owners = await commands.ShowOwners().run(options)
+    assert 'desk: entry-1, epoch 1' in owners.lines
+    shown = await commands.ShowJobs().run(options)
+    assert 'desk: 0 jobs, 0 tasks wait, 2 workers' in shown.lines
+    fleet = await commands.ShowFleet().run(options)
+    assert any(line.startswith('desk: ') for line in fleet.lines)
+
+
+async def _dump(process: Kernel, *_asked: object) -> Dump:
+    return process.dump()
+
+
+async def test_no_component_hides_another_in_the_dump(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Two plug-ins of one name are told apart by their families."""
+    entry = await jobs.start('entry-1')
+    assert len(entry.kernel.dump()) == len(entry.kernel.components)
+    assert 'store.fake' in entry.kernel.dump()
