--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -179,7 +179,6 @@
             station = self.state.stations[placement.life]
             start = StartTask(self.state, station, attempt)
             nursery.start_soon(start.run)
-
         self._note_shortage(benches)
 
     def _note_shortage(self, benches: dict[Life, Bench]) -> None:
