Count every answer of a worker as a sign of life

Cause: a worker whose clock runs 2% slow tells times that are behind the least that they can be, once one answer takes a little longer than the first.

Ruled out: the keeper's loop (it renewed each second), the worker (answered all the time).

Change: an answer counts as heard whatever clock it tells. test_slow_clock_of_a_worker_that_answers failed before.

--- a/cyclamenshift/decisions/leases.py
+++ b/cyclamenshift/decisions/leases.py
@@ -27,14 +27,21 @@
         self.open_until = open_until
         self.clock = 0
         self.answered_at: int | None = None
+        self.heard_at: int | None = None
         self.granted = 0
 
     def heard_since(self, then: int) -> bool:
-        """Return whether the worker has told its time since *then*."""
-        return self.answered_at is not None and self.answered_at >= then
+        """Return whether the worker has answered since *then*."""
+        return self.heard_at is not None and self.heard_at >= then
 
     def observe(self, clock: int, now: int) -> None:
-        """Note the time that the worker told in an answer just now."""
+        """
+        Note the time that the worker told in an answer just now.
+
+        A time that is behind what it must be by now comes from an answer
+        that was long on its way, and says nothing new of the clock.
+        """
+        self.heard_at = now
         if clock >= self.earliest(now):
             self.clock = clock
             self.answered_at = now
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -17,6 +17,7 @@
     Health,
 )
 from cyclamenshift.decisions.lanes import RESERVE_DIVISOR, PoolQueue, Ticket
+from cyclamenshift.decisions.leases import Lease
 from cyclamenshift.decisions.membership import owner_of
 from cyclamenshift.model import Done, NotRun, Reason, Unknown, Vm
 
@@ -208,3 +209,13 @@
     vm = builders.vm(data_centre='dc-9')
     assert owner_of(vm, [*far, near]) == 'near'
     assert owner_of(vm, far) != 'near'
+
+
+def test_slow_clock_of_a_worker_that_answers() -> None:
+    """A worker is heard of by each answer, however slow its clock is."""
+    lease = Lease(open_until=0)
+    for second in range(10):
+        jitter = second
+        now = second * 1_000 + jitter
+        lease.observe(second * 980, now)
+        assert lease.heard_since(now)
