Let the test of a slow clock delay the later answers

As first written its answers were too even, so it passed on the fault that it is for; now it fails there (heard_since is false at the second answer) and passes with the mend.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -215,7 +215,7 @@
     """A worker is heard of by each answer, however slow its clock is."""
     lease = Lease(open_until=0)
     for second in range(10):
-        jitter = second
-        now = second * 1_000 + jitter
+        delay = 50 if second else 0
+        now = second * 1_000 + delay
         lease.observe(second * 980, now)
         assert lease.heard_since(now)
