--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -15,6 +15,7 @@
 import trio
 
 from cyclamenshift.clock import SECOND_MS
+from cyclamenshift.decisions.leases import CLOCK_LAG_PERCENT, PERCENT
 from cyclamenshift.job import (
     NOTHING,
     Ending,
@@ -41,6 +42,8 @@
 
 #: How long an order takes there and back, ms.
 ORDER_MS = 4
+#: How much longer every other one takes.
+SLOWER_MS = 25
 #: How long an answer that was lost is waited for, ms.
 LOST_MS = 400
 #: How long a task runs that no test says more of, ms.
@@ -104,7 +107,8 @@
 
     def clock(self, now: int) -> int:
         """Return the worker's time at virtual time *now*, ms."""
-        return now + self.clock_ahead
+        passed = now * (PERCENT - CLOCK_LAG_PERCENT) // PERCENT
+        return self.clock_ahead + passed
 
     def silent_for(self, entry_id: str) -> bool:
         """Return whether orders of *entry_id* get lost on the way."""
@@ -125,6 +129,7 @@
         self.started: list[Started] = []
         self.endings: list[tuple[int, str, RunEnd]] = []
         self.void: set[tuple[str, RunEnd]] = set()
+        self.answers = 0
         self.lose_answers = 0
         self.late_orders: list[int] = []
 
@@ -379,7 +384,9 @@
         if sim.silent_for(self.kernel.settings['entry']['id']):
             await self.clock.sleep(LOST_MS)
             return Unanswered(sent=True, reason='silent')
-        await self.clock.sleep(ORDER_MS)
+        self.world.answers += 1
+        slower = SLOWER_MS * (self.world.answers % 2)
+        await self.clock.sleep(ORDER_MS + slower)
         return None
 
     async def _start_late(
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -255,6 +255,20 @@
     await jobs.until_state(JobState.completed, handed_in)
 
 
+async def test_lasting_tasks_go_on_undisturbed(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Slow clocks and uneven answers of workers end nothing."""
+    jobs.add_workers('desk', 2)
+    (entry,) = await jobs.start_all(1)
+    lasting = job(steps=(step(tasks=4, long_running=True),))
+    await jobs.submit(entry, lasting)
+    await trio.sleep(60)
+    assert len(jobs.world.started) == 4
+    assert not jobs.world.endings
+
+
 async def test_end_can_not_be_recorded_for_long(
     jobs: JobCluster,
     autojump_clock: MockClock,
