Count VMs that an earlier manager ordered lately as down

Cause: since the planned hand-over a successor orders at once, and an order of its predecessor that is carried out after the VMs were listed was not counted.

Ruled out: two managers at once (the VMs differ), the choice within one manager (each counts from its choice).

Change: VMs barred after a hand-over count as down for maintenance. test_vms_that_an_earlier_manager_ordered_count_as_down failed before.

--- a/cyclamenshift/managing/state.py
+++ b/cyclamenshift/managing/state.py
@@ -103,7 +103,8 @@
             for vm in self.vms.values()
             if vm.phase is VmPhase.maintained
         }
-        down = listed.union(self.down).intersection(maintenance.vm_ids)
+        away = listed.union(self.down, self.handover.barred())
+        down = away.intersection(maintenance.vm_ids)
         return Standing(maintenance, done, down)
 
     async def prove(self) -> bool:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -167,3 +167,23 @@
     assert pools['desk'] == 3
     await jobs.until(lambda: jobs.in_pool('portal') == 3)
     assert not jobs.world.faults()
+
+
+async def test_vms_that_an_earlier_manager_ordered_count_as_down(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Its last order may be carried out after the VMs were listed."""
+    jobs.add_workers('desk', 4)
+    (entry,) = await jobs.start_all(1)
+    await trio.sleep(1)
+    manager = entry.fleet.manager
+    assert manager
+    handover = manager.state.handover
+    handover.barred_until['desk-vm-1'] = entry.kernel.clock.now() + 3_000
+    vm_ids = tuple(sorted(jobs.site.vms))
+    jobs.site.maintenances[1] = Maintenance(1, vm_ids, 30_000, 1)
+    await trio.sleep(2)
+    assert not any(order.maintenance for order in jobs.site.orders)
+    await trio.sleep(3)
+    assert any(order.maintenance for order in jobs.site.orders)
