Share the base of the tests' clusters; log a hand-over that is not written

Found on reading the whole change: the clusters for requests and for jobs had the same until and kill; evictions looked siblings up by hand beside JobProgress.siblings; one constant had the name and comment of another; the result of writing the hand-over was dropped without a line. Decisions are as before; no assertion is changed. The whole suite passes.

--- a/cyclamenshift/decisions/eviction.py
+++ b/cyclamenshift/decisions/eviction.py
@@ -34,11 +34,9 @@
 
 def _away(task: Task) -> int:
     """Return how many other tasks of the step do not serve."""
-    step_key = (task.task_id.occurrence, task.task_id.step)
-    siblings = task.job.steps[step_key]
     return sum(
         1
-        for sibling in siblings
+        for sibling in task.job.siblings(task)
         if sibling is not task and not _serves(sibling)
     )
 
--- a/cyclamenshift/managing/handover.py
+++ b/cyclamenshift/managing/handover.py
@@ -15,7 +15,7 @@
 from ..duty import Tenure
 from ..jobrows import HandoverRow, handover_key
 from ..rows import typed
-from ..store import Row, StorePath, Transaction, Write
+from ..store import Committed, Row, StorePath, Transaction, Write
 
 #: How often a predecessor's row is looked for, ms.
 LOOK_MS: Final = 250
@@ -63,8 +63,12 @@
                 return
             await self.clock.sleep(LOOK_MS)
 
-    async def leave(self) -> None:
-        """Tell a successor what was ordered, even while being cancelled."""
+    async def leave(self) -> bool:
+        """
+        Tell a successor what was ordered, even while being cancelled.
+
+        Returns whether that is certainly written; else it has to wait.
+        """
         now = self.clock.now()
         ages = {
             vm_id: self.lease - (until - now)
@@ -77,9 +81,11 @@
         row = HandoverRow(epoch=self.tenure.epoch, ages=ages)
         with self.clock.move_on_after(LEAVE_MS) as scope:
             scope.shield = True
-            await self.store.commit(
+            result = await self.store.commit(
                 Transaction((self.tenure.check(),), (Write(self.key, row),)),
             )
+            return isinstance(result, Committed)
+        return False
 
     async def _found(self) -> bool:
         """Bar what a predecessor ordered; return whether nothing is unknown."""
--- a/cyclamenshift/managing/manager.py
+++ b/cyclamenshift/managing/manager.py
@@ -49,7 +49,8 @@
         try:
             await self._manage()
         finally:
-            await self.state.handover.leave()
+            left = await self.state.handover.leave()
+            self.state.log.note('Leaves the fleet.', handover_written=left)
 
     def take(self, report: PoolReport) -> None:
         """Take what a pool reports."""
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -27,8 +27,8 @@
 from .sweeper import Sweeper
 from .vacating import evict, vacate
 
-#: How often the rows are looked at for jobs whose hint was lost, ms.
-POLL_MS: Final = 1_000
+#: The longest wait for a change before the scheduler looks anyway, ms.
+LONGEST_WAIT_MS: Final = 1_000
 #: How often the workers' registrations are compared, ms.
 WORKERS_MS: Final = 200
 
@@ -155,8 +155,8 @@
     def _until_due(self) -> int:
         due = self.book.next_due()
         if due is None:
-            return POLL_MS
-        return max(1, min(POLL_MS, due - self.clock.wall()))
+            return LONGEST_WAIT_MS
+        return max(1, min(LONGEST_WAIT_MS, due - self.clock.wall()))
 
     def _place(self, nursery: trio.Nursery) -> None:
         if not self.book.waiting:
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -12,7 +12,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
-from typing import NamedTuple, TypeVar
+from typing import Generic, NamedTuple, Protocol, TypeVar
 
 import trio
 from trio.abc import Stream
@@ -330,16 +330,47 @@
     scope: trio.CancelScope
 
 
-class Cluster:
-    """Several entry VMs over one store, one network and one set of workers."""
+class Scoped(Protocol):
+    """An entry VM that a test can end."""
+
+    @property
+    def scope(self) -> trio.CancelScope:
+        """The scope that its process runs in."""
+        raise NotImplementedError
+
+
+EntryType = TypeVar('EntryType', bound=Scoped)
+
+
+class EntryGroup(Generic[EntryType]):
+    """Several entry VMs over one store and one network."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
         """Start without an entry VM."""
         self.nursery = nursery
         self.store = SharedStore()
-        self.workers = Workers()
         self.network = Network()
-        self.entries: dict[str, Entry] = {}
+        self.entries: dict[str, EntryType] = {}
+
+    async def until(self, condition: Callable[[], object]) -> None:
+        """Let virtual time pass until *condition* holds."""
+        with trio.fail_after(600):
+            while not condition():
+                await trio.sleep(0.01)
+
+    def kill(self, entry_id: str) -> None:
+        """End an entry VM at once, as if its machine were gone."""
+        self.network.peers.pop(entry_id, None)
+        self.entries.pop(entry_id).scope.cancel()
+
+
+class Cluster(EntryGroup[Entry]):
+    """Several entry VMs over one store, one network and one set of workers."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        """Start without an entry VM."""
+        super().__init__(nursery)
+        self.workers = Workers()
 
     async def start(self, entry_id: str, **changes: dict[str, object]) -> Entry:
         """Start one entry VM and return it when it has started."""
@@ -385,17 +416,6 @@
             for entry in self.entries.values()
         )
 
-    async def until(self, condition: Callable[[], object]) -> None:
-        """Let virtual time pass until *condition* holds."""
-        with trio.fail_after(600):
-            while not condition():
-                await trio.sleep(0.01)
-
-    def kill(self, entry_id: str) -> None:
-        """End an entry VM at once, as if its machine were gone."""
-        self.network.peers.pop(entry_id, None)
-        self.entries.pop(entry_id).scope.cancel()
-
     def _members(self) -> list[type[Component]]:
         cluster = self
 
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -5,7 +5,7 @@
 Several entry VMs that serve jobs, in one trio run on virtual time.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import trio
@@ -36,7 +36,7 @@
 from cyclamenshift.worker import Worker
 
 from ..builders import WALL_START, catalog, entry_settings, worker
-from .fakes import FakePeer, FakeStore, Network, SharedStore, run_in
+from .fakes import EntryGroup, FakePeer, FakeStore, run_in
 from .workers import FakeWorkerClient, Workers, now_ms
 
 #: How long a VM is down for its maintenance, and on the way to a pool, ms.
@@ -164,17 +164,14 @@
     scope: trio.CancelScope
 
 
-class JobCluster:
+class JobCluster(EntryGroup[JobEntry]):
     """Entry VMs over one store, one network, one site and its workers."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
         """Start without an entry VM, and without a worker."""
-        self.nursery = nursery
-        self.store = SharedStore()
-        self.network = Network()
+        super().__init__(nursery)
         self.world = Workers()
         self.site = Site()
-        self.entries: dict[str, JobEntry] = {}
         self.births = 0
 
     def add_workers(self, service: str, count: int, **changes: Any) -> None:
@@ -357,17 +354,6 @@
                 while await self.state_of(job) is not state:
                     await trio.sleep(0.02)
 
-    async def until(self, condition: Callable[[], object]) -> None:
-        """Let virtual time pass until *condition* holds."""
-        with trio.fail_after(600):
-            while not condition():
-                await trio.sleep(0.01)
-
-    def kill(self, entry_id: str) -> None:
-        """End an entry VM at once, as if its machine were gone."""
-        self.network.peers.pop(entry_id, None)
-        self.entries.pop(entry_id).scope.cancel()
-
     def _members(self) -> list[type[Component]]:
         cluster = self
 
