Keep cancels of jobs not known yet; look for them beside a hung look for jobs

Cause: (1) a cancel that reached the owner before its job did (the queue not heard of yet, or the look for jobs failed while the one for cancels did not) was dropped, and the job ran. (2) The two tables were looked at in turn: a call for jobs that hung, here and at a peer, held up the look for cancels by 4 s and more. Ruled out: the recorder, whose next commit does not hold up a stop. Change: unknown cancels are kept until their job is read; one task a table. Tests seen failing first: test_cancelled_before_its_queue_is_heard_of, test_cancel_is_found_while_a_look_for_jobs_hangs[3] and [4].

test_whole_session, TooSlowError once: five of six entry VMs had started. The test took its ports from the system's range of outgoing connections, so that one could be given away before the daemon listened; a daemon that had ended was waited for a minute.

--- a/cyclamenshift/scheduling/rows.py
+++ b/cyclamenshift/scheduling/rows.py
@@ -45,6 +45,7 @@
         self.directory = directory
         self.versions = {JOB_TABLE: ABSENT, CANCEL_TABLE: ABSENT}
         self.orphans: dict[str, Entry] = {}
+        self.cancelled: set[str] = set()
 
     async def load(self) -> None:
         """Read every row of the service; try until the store gives them."""
@@ -56,13 +57,16 @@
                 self.state.log.error('A row is not read.', problem=str(error))
             await self.clock.sleep(RETRY_MS)
 
-    async def poll(self) -> None:
-        """Look for jobs and cancels whose hint was lost, until cancelled."""
+    async def poll(self, table: str) -> None:
+        """
+        Look in *table* for what no hint told of, until cancelled.
+
+        Each table has its own task: a call that hangs holds up just one.
+        """
         while True:
             await self.clock.sleep(POLL_MS)
             self._take_orphans()
-            for table in tuple(self.versions):
-                await self._poll(table)
+            await self._poll(table)
 
     def add(self, job: Job) -> None:
         """Take a job that was stored."""
@@ -71,8 +75,10 @@
             self.state.wake()
 
     def cancel(self, job_id: str) -> None:
-        """Take a cancel that was stored."""
-        if self.book.cancel(job_id, self.clock.wall()):
+        """Take a cancel that was stored, perhaps before its job is known."""
+        if job_id not in self.book.jobs:
+            self.cancelled.add(job_id)
+        elif self.book.cancel(job_id, self.clock.wall()):
             self.state.recorder.want()
             self.state.wake()
 
@@ -115,15 +121,19 @@
             self._keep_orphan(entry)
             return False
         if recorded is None:
-            added = self.book.add(job, queue, self.clock.wall())
-            return added is not None
-        self.book.restore(
-            JobProgress(job, queue, recorded.version),
-            typed(recorded, ProgressRow),
-            self.clock.wall(),
-            self.clock.now(),
-        )
-        return True
+            added = self.book.add(job, queue, self.clock.wall()) is not None
+        else:
+            added = True
+            self.book.restore(
+                JobProgress(job, queue, recorded.version),
+                typed(recorded, ProgressRow),
+                self.clock.wall(),
+                self.clock.now(),
+            )
+        if job.job_id in self.cancelled:
+            self.cancelled.discard(job.job_id)
+            self.cancel(job.job_id)
+        return added
 
     def _keep_orphan(self, entry: Entry) -> None:
         """Keep a job whose queue the configuration here does not have yet."""
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -59,7 +59,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.state.recorder.run)
             nursery.start_soon(self._follow_workers, nursery)
-            nursery.start_soon(self.rows.poll)
+            for table in tuple(self.rows.versions):
+                nursery.start_soon(self.rows.poll, table)
             nursery.start_soon(self.state.keep_proof)
             nursery.start_soon(Sweeper(self.state).run)
             nursery.start_soon(report_pool, self.state, self.tell_manager)
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -85,6 +85,7 @@
         self.delay = STORE_CALL_MS
         self.transaction_ms = 0
         self.cut_off: set[str] = set()
+        self.hung_tables: set[str] = set()
         self._busy_until: dict[str, float] = {}
 
     def queue_up(self, part: str) -> float | None:
@@ -118,6 +119,9 @@
         wait: int,
     ) -> Snapshot | HistoryLost | Unavailable:
         """Return the changed rows; looks again with each call's time."""
+        if table in self.store.hung_tables:
+            await self.clock.sleep(LOST_WAIT_MS)
+            return Unavailable('no answer')
         until = self.clock.now() + wait
         changes = partial(self.store.table.changes, table, version)
         result = await self._guard(changes)
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -15,12 +15,14 @@
 from cyclamenshift.component import Component
 from cyclamenshift.control import Control
 from cyclamenshift.controls.desk import JobDesk, Stored
+from cyclamenshift.controls.ledger import Written
 from cyclamenshift.controls.ownership import Ownership
 from cyclamenshift.directory import Catalog, Directory, Maintenance, Queue
 from cyclamenshift.duties.fleet import FleetDuty
 from cyclamenshift.duties.scheduler import SchedulerDuty
 from cyclamenshift.duty import Duty
 from cyclamenshift.job import Job, JobState
+from cyclamenshift.jobrows import CancelRow, cancel_key
 from cyclamenshift.provider import (
     Authority,
     ProvidedVm,
@@ -33,6 +35,7 @@
     VmUnanswered,
 )
 from cyclamenshift.scheduling.state import ServiceState
+from cyclamenshift.store import ABSENT
 from cyclamenshift.worker import Worker
 
 from ..builders import WALL_START, catalog, entry_settings, worker
@@ -342,6 +345,14 @@
         result = await entry.desk.cancel(queue, job.job_id, WAIT_MS)
         assert isinstance(result, Stored), result
 
+    async def cancel_without_hint(self, job: Job) -> None:
+        """Store that a job is cancelled, as if the hint had been lost."""
+        entry = next(iter(self.entries.values()))
+        key = cancel_key(self.queue_of(job).service, job.job_id)
+        row = CancelRow(asked=entry.desk.clock.wall())
+        written = await entry.desk.ledger.write(key, ABSENT, row)
+        assert isinstance(written, Written), written
+
     def queue_of(self, job: Job) -> Queue:
         """Return the queue that a job was handed in to."""
         assert self.site.catalog
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -5,13 +5,15 @@
 Starts the stand-ins and entry VMs as separate processes on loopback.
 """
 
+import itertools
 import json
+import os
 import pathlib
 import signal
 import socket
 import subprocess
 import sys
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from functools import partial
 from types import TracebackType
 from typing import Any, NamedTuple, Self
@@ -25,9 +27,25 @@
 #: The wait between two looks at a condition, seconds.
 LOOK_S = 0.1
 
+#: The ports that listeners get, below those of outgoing connections, which
+#: begin at 32,768.  Test runs side by side begin at different ones.
+FIRST_PORT = 20_000
+PORTS_END = 32_768
+#: How far apart runs begin whose process ids are neighbours.
+PORTS_APART = 61
+
 PROGRAMS = pathlib.Path(sys.executable).parent
 
 
+def _ports() -> Iterator[int]:
+    ports = range(FIRST_PORT, PORTS_END)
+    begin = os.getpid() * PORTS_APART % len(ports)
+    return itertools.cycle((*ports[begin:], *ports[:begin]))
+
+
+_PORTS = _ports()
+
+
 class Entry(NamedTuple):
     """The process of one entry VM and where it listens."""
 
@@ -114,7 +132,7 @@
     def start_entry(self, entry_id: str, **changes: Any) -> Entry:
         """Start an entry VM; it may not be ready yet."""
         ports = {
-            section: _free_port()
+            section: free_port()
             for section in ('callers', 'operators', 'peers')
         }
         settings: dict[str, Any] = {
@@ -216,6 +234,7 @@
     entry: Entry,
     count: int,
 ) -> bool:
+    assert entry.process.poll() is None, 'the entry VM has ended'
     try:
         ready = await client.get(f'{entry.callers}/readyz')
         dump = (await client.get(f'{entry.operators}/v1/dump')).json()
@@ -232,10 +251,21 @@
     return process.stdout.readline().decode().strip()
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+def free_port() -> int:
+    """
+    Return a port that nothing uses, and that no outgoing connection gets.
+
+    The daemon listens on it only when it has started: by then the system
+    may have given a port of its own choice to somebody else's connection.
+    """
+    while True:
+        port = next(_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        return port
 
 
 def _write(path: pathlib.Path, value: Mapping[str, Any]) -> None:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -18,6 +18,7 @@
 from cyclamenshift.component import Dump
 from cyclamenshift.controls.desk import NoSuchJob, Stored
 from cyclamenshift.job import JobState, Room, TaskId
+from cyclamenshift.jobrows import JOB_TABLE
 from cyclamenshift.kernel import Kernel
 from cyclamenshift.scheduling.keeper import Keeper
 
@@ -29,6 +30,8 @@
 #: wait, ms.
 SLOW_MS = 250
 CALLER_MS = 1_400
+#: How soon after its cancel nothing of a job may run any more, seconds.
+STOP_S = 3
 
 
 async def test_job_is_run_and_told(
@@ -214,6 +217,49 @@
     await jobs.until_state(JobState.completed, handed_in)
 
 
+async def test_cancelled_before_its_queue_is_heard_of(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """No task of it runs when the configuration tells of the queue."""
+    jobs.add_workers('desk', 2)
+    entry = (await jobs.start_all(2))[0]
+    handed_in = job()
+    queue = jobs.queue_of(handed_in)
+    known = catalog()
+    jobs.site.catalog = known._replace(queues={})
+    jobs.know(handed_in)
+    assert isinstance(await entry.desk.submit(queue, handed_in, 3_000), Stored)
+    cancelled = await entry.desk.cancel(queue, handed_in.job_id, 3_000)
+    assert isinstance(cancelled, Stored)
+    await trio.sleep(3)
+    jobs.site.catalog = known
+    await jobs.until_state(JobState.cancelled, handed_in)
+    assert not jobs.world.started
+
+
+@pytest.mark.parametrize('after', range(5))
+async def test_cancel_is_found_while_a_look_for_jobs_hangs(
+    after: int,
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """The hint of the cancel is lost; the look for cancels goes on."""
+    jobs.add_workers('desk', 1)
+    await jobs.start_all(2)
+    lasting = job(steps=(step(long_running=True),))
+    owner = jobs.owner('desk')
+    await jobs.submit(jobs.other('desk'), lasting)
+    await jobs.until(lambda: len(jobs.world.started) == 2)
+    jobs.store.hung_tables.add(JOB_TABLE)
+    await trio.sleep(after)
+    await jobs.cancel_without_hint(lasting)
+    (sim,) = jobs.world.lives.values()
+    with trio.fail_after(STOP_S):
+        await jobs.until(lambda: not sim.running)
+    assert jobs.owner('desk') == owner
+
+
 async def test_failed_start_is_recorded(
     jobs: JobCluster,
     autojump_clock: MockClock,
