Bound the rows of one transaction by what the platform's store takes

The ledger gathered up to 64 rows, each with a check and a write: 128 entries. All 64 callers were refused, and since a refusal counted as a lost store, each entry VM that tried believed the store lost. Ruled out: the recorder (48 jobs, 97 entries) and the sweeper (32 jobs, 97). Change: store.claim_batch is 50 and bounded there; the stand-in store refuses more than 100 entries; a transaction that the store does not understand is an error in the log. Test seen failing first: test_more_jobs_at_once_than_a_transaction_takes.

--- a/cyclamenshift/platform/store.py
+++ b/cyclamenshift/platform/store.py
@@ -54,6 +54,12 @@
 PART_QUEUE_MS: Final = 1_000
 
 
+#: What the store says to a call that it would never carry out.
+WRONG_STATUSES: Final = frozenset(
+    (HTTPStatus.BAD_REQUEST, HTTPStatus.REQUEST_ENTITY_TOO_LARGE),
+)
+
+
 #: A row; a dropped one has no value.
 RowBody = TypedDict(
     'RowBody',
@@ -145,6 +151,12 @@
             body,
             PART_QUEUE_MS,
         )
+        if _is_wrong(result):
+            self.log.error(
+                'The store does not understand a transaction.',
+                checks=len(transaction.checks),
+                writes=len(transaction.writes),
+            )
         return self._count('commit', _commit_result(result, transaction))
 
     async def put_object(self, name: str, body: bytes) -> bool:
@@ -267,6 +279,11 @@
     return {'table': key.table, 'part': key.part, 'key': key.name}
 
 
+def _is_wrong(result: Answer | NotSent | NoAnswer) -> bool:
+    """Return whether the same call would be refused again."""
+    return isinstance(result, Answer) and result.status in WRONG_STATUSES
+
+
 def _commit_result(
     result: Answer | NotSent | NoAnswer,
     transaction: Transaction,
--- a/cyclamenshift/settings.py
+++ b/cyclamenshift/settings.py
@@ -19,6 +19,9 @@
 Millis: TypeAlias = Annotated[int, Meta(ge=1, le=86_400_000)]
 #: A number of bytes.
 Size: TypeAlias = Annotated[int, Meta(ge=1)]
+#: Rows that one transaction writes; each takes a check and a write, and the
+#: platform's store takes 100 entries a call.
+Rows: TypeAlias = Annotated[int, Meta(ge=1, le=50)]
 #: The name of a plug-in or a process.
 Name: TypeAlias = Annotated[str, Meta(min_length=1)]
 
@@ -79,7 +82,7 @@
     address: str
     timeout: Millis
     poll: Millis
-    claim_batch: Size
+    claim_batch: Rows
     claim_interval: Annotated[int, Meta(ge=0, le=1000)]
     claim_retention: Millis
 
@@ -162,7 +165,7 @@
         'address': '',
         'timeout': 2_000,
         'poll': 1_000,
-        'claim_batch': 64,
+        'claim_batch': 50,
         'claim_interval': 20,
         'claim_retention': 86_400_000,
     },
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -61,6 +61,8 @@
 MemoryStream = trio.StapledStream[MemorySendStream, MemoryReceiveStream]
 ReadType = TypeVar('ReadType')
 
+#: The most checks and writes in one transaction; the platform's limit.
+ENTRY_LIMIT = 100
 #: How long a lost answer of the store is waited for, ms.
 LOST_WAIT_MS = 2_000
 #: How long the transactions of a part may wait for their turn, ms.
@@ -134,6 +136,8 @@
         await self.clock.sleep(self.store.delay)
         if self._unreachable():
             return Unavailable('down')
+        if len(transaction.checks) + len(transaction.writes) > ENTRY_LIMIT:
+            return Unavailable('too many entries')
         if not await self._take_turn(transaction):
             return Unavailable('busy')
         result = self.store.table.commit(transaction)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -199,6 +199,21 @@
     assert not jobs.world.faults()
 
 
+async def test_more_jobs_at_once_than_a_transaction_takes(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Each of them is accepted, although the store bounds a transaction."""
+    jobs.add_workers('desk', 2)
+    await jobs.start_all(2)
+    jobs.store.transaction_ms = SLOW_MS
+    work = [job(f'job-{number}') for number in range(130)]
+    async with trio.open_nursery() as nursery:
+        for handed_in in work:
+            nursery.start_soon(jobs.submit, jobs.other('desk'), handed_in)
+    assert not jobs.world.faults()
+
+
 async def test_job_of_a_queue_not_heard_of_yet(
     jobs: JobCluster,
     autojump_clock: MockClock,
