Run copies of slow speculative tasks

Cause: a third of the steps of both sites may run twice, and the job waits for its slowest task: the slowest run took 2 times the median in 2 to 5 of 100 steps, 7 times at a slow worker, and 4 s more at one that hangs. Change: decisions/copies.py names the runs that take 1.5 times as long as those of their step, half of it being done, and those at workers that do not answer; they get one copy each, in the room that waiting tasks leave, at another worker. The first end counts, the other run is stopped, and what it ends with does not count. Ruled out: copies of steps with 1 or no done sibling; estimates are off by up to 10 times. Tests seen failing first: test_slow_run_is_overtaken_by_a_copy, test_run_at_a_silent_worker_is_copied.

--- a/cyclamenshift/decisions/book.py
+++ b/cyclamenshift/decisions/book.py
@@ -108,7 +108,7 @@
         return min((due for due in dues if due is not None), default=None)
 
     def plan(self, task: Task, life: Life, number: int, now: int) -> Attempt:
-        """Choose a worker for a waiting task; it has to be recorded next."""
+        """Choose a worker for a task; the attempt has to be recorded next."""
         attempt = Attempt(task, number, life, now)
         task.last_run = number
         task.attempts[number] = attempt
@@ -123,6 +123,8 @@
         """Note that the worker runs *attempt*."""
         attempt.seen_clock = max(attempt.seen_clock, clock)
         attempt.task.job.begun = True
+        if attempt.phase is Phase.ordered:
+            attempt.began_clock = clock
         if attempt.phase in {Phase.ordered, Phase.unsettled, Phase.inherited}:
             attempt.phase = Phase.running
 
@@ -148,7 +150,7 @@
         """Bring the book in line with what a worker reports."""
         changed: dict[str, JobProgress] = {}
         for end in report.ended:
-            for progress in self._take_end(life, end, wall):
+            for progress in self._take_end(life, end, report.clock, wall):
                 changed[progress.job.job_id] = progress
         strays = tuple(
             status.run
@@ -223,6 +225,7 @@
         self,
         life: Life,
         end: RunEnd,
+        clock: int,
         wall: int,
     ) -> list[JobProgress]:
         attempt = self.at.get(life, {}).get(end.run)
@@ -230,10 +233,12 @@
             return self._unrecorded(end)
         task = attempt.task
         task.checkpoint = checkpoint_of(end, task)
-        counted = end.ending in COUNTED and not task.job.state.final
+        over = task.done or task.job.state.final
+        counted = end.ending in COUNTED and not over
         if counted and end.ending is Ending.failed:
             self._settle(task.job, task.job.take_failure(attempt, wall))
         elif counted and not task.step.long_running:
+            task.run_time = attempt.run_time(clock)
             self._settle(task.job, task.job.take_done(task, wall))
         self.remove(attempt)
         return [task.job] if counted else []
--- a/cyclamenshift/decisions/placement.py
+++ b/cyclamenshift/decisions/placement.py
@@ -143,6 +143,7 @@
         )
         for bench in benches
         if bench.free.holds(room)
+        and not _runs_at(task, bench.life)
         and _is_allowed(task, bench.worker, taken.get(bench.life, 0))
     ]
     return min(ranked)[-1] if ranked else None
@@ -167,6 +168,11 @@
     return counts
 
 
+def _runs_at(task: Task, life: Life) -> bool:
+    """Return whether a task that gets a copy runs at this worker."""
+    return any(attempt.life == life for attempt in task.attempts.values())
+
+
 def _is_allowed(task: Task, worker: Worker, taken: int) -> bool:
     step = task.step
     if step.required_label and step.required_label not in worker.labels:
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -40,7 +40,8 @@
         """
         Start planned at *now*, monotonic ms.
 
-        ``seen_clock`` is the worker's time when it was last known there;
+        ``seen_clock`` is the worker's time when it was last known there,
+        ``began_clock`` when it was told to start, 0 if that is not known;
         ``evicted`` tells whether it is being stopped to start elsewhere,
         ``in_touch`` whether its worker answers.
         """
@@ -50,6 +51,7 @@
         self.phase = Phase.planned
         self.since = now
         self.seen_clock = 0
+        self.began_clock = 0
         self.evicted = False
         self.in_touch = False
         self.percent = 0
@@ -60,9 +62,18 @@
         """The run that this is."""
         return RunId(self.task.task_id, self.number)
 
+    def run_time(self, clock: int) -> int:
+        """Return how long it ran by the worker's *clock*, 0 if not known."""
+        return clock - self.began_clock if self.began_clock else 0
+
 
 class Task:
-    """One task of a step, with its attempts that are not over."""
+    """
+    One task of a step, with its attempts that are not over.
+
+    ``run_time`` is how long the run took that has done it, ms, 0 if that is
+    not known.
+    """
 
     def __init__(self, job: 'JobProgress', task_id: TaskId, step: Step) -> None:
         """Start without an attempt."""
@@ -74,6 +85,7 @@
         self.failed_run = 0
         self.checkpoint = ''
         self.done = False
+        self.run_time = 0
         self.attempts: dict[int, Attempt] = {}
         self.failed_at: set[Life] = set()
 
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -5,13 +5,14 @@
 Schedules the jobs of one service while this entry VM owns it.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import trio
 
 from ..component import Dump, Host
-from ..decisions.placement import Bench, place
+from ..decisions.copies import SlowRun, slow_runs
+from ..decisions.placement import Bench, Placement, place
 from ..decisions.urgency import most_urgent_first
 from ..decisions.progress import Life, Phase
 from ..directory import Directory
@@ -160,19 +161,33 @@
         return max(1, min(LONGEST_WAIT_MS, due - self.clock.wall()))
 
     def _place(self, nursery: trio.Nursery) -> None:
+        now = self.clock.now()
+        slow = self._slow_runs(now)
         if not self.book.waiting:
             self.short_of_room.clear()
+        if not self.book.waiting and not slow:
             return
-        now = self.clock.now()
         benches = self._benches(now)
         urgent = most_urgent_first(
             self.book.waiting.values(),
             self.clock.wall(),
         )
-        for placement in place(urgent, benches):
-            task = placement.task
+        self._start(place(urgent, benches), nursery, now)
+        self._note_shortage(benches)
+        copied = [run.attempt.task for run in slow]
+        copies = place(most_urgent_first(copied, self.clock.wall()), benches)
+        self._note_copies(slow, copies)
+        self._start(copies, nursery, now)
+
+    def _start(
+        self,
+        placements: Iterable[Placement],
+        nursery: trio.Nursery,
+        now: int,
+    ) -> None:
+        for placement in placements:
             attempt = self.book.plan(
-                task,
+                placement.task,
                 placement.life,
                 placement.number,
                 now,
@@ -180,7 +195,38 @@
             station = self.state.stations[placement.life]
             start = StartTask(self.state, station, attempt)
             nursery.start_soon(start.run)
-        self._note_shortage(benches)
+
+    def _slow_runs(self, now: int) -> list[SlowRun]:
+        silent = {
+            life
+            for life, station in self.state.stations.items()
+            if station.misses
+        }
+        attempts = (
+            attempt
+            for there in self.book.at.values()
+            for attempt in there.values()
+        )
+        return slow_runs(attempts, silent, now)
+
+    def _note_copies(
+        self,
+        slow: Iterable[SlowRun],
+        copies: Iterable[Placement],
+    ) -> None:
+        chosen = {copy.task.task_id: copy for copy in copies}
+        for run in slow:
+            copy = chosen.get(run.attempt.task.task_id)
+            if copy:
+                self.state.log.note(
+                    'A run is copied.',
+                    run=run.attempt.run,
+                    worker=run.attempt.life[0],
+                    copy_worker=copy.life[0],
+                    age_ms=run.age,
+                    usual_ms=run.usual,
+                    silent=run.silent,
+                )
 
     def _note_shortage(self, benches: dict[Life, Bench]) -> None:
         """Log each job once when its tasks begin to wait for room."""
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -413,6 +413,65 @@
     assert not jobs.world.faults()
 
 
+async def test_slow_run_is_overtaken_by_a_copy(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """The copy that is done first counts, and the other one is stopped."""
+    jobs.add_workers('desk', 2)
+    await jobs.start_all(2)
+    slow = jobs.world.of(jobs.worker_on('desk-vm-2'))
+    slow.slowness = 40
+    handed_in = job(steps=(step(tasks=12, speculative=True),))
+    await jobs.submit(jobs.other('desk'), handed_in)
+    with trio.fail_after(4):
+        await jobs.until_state(JobState.completed, handed_in)
+    await jobs.until(lambda: not slow.running)
+    copied = Counter(started.run.task for started in jobs.world.started)
+    assert max(copied.values()) == 2
+    assert not jobs.world.faults()
+
+
+async def test_run_at_a_silent_worker_is_copied(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """A task that may run twice does not wait for the leases to run out."""
+    jobs.add_workers('desk', 2)
+    await jobs.start_all(2)
+    handed_in = job(steps=(step(tasks=2, speculative=True),))
+    jobs.world.run_ms = {
+        TaskId(handed_in.job_id, 0, 0, ordinal): 1_000 for ordinal in range(2)
+    }
+    await jobs.submit(jobs.other('desk'), handed_in)
+    await jobs.until(lambda: len(jobs.world.started) == 2)
+    silent = jobs.world.of(jobs.world.started[0].worker_id)
+    silent.silent_to = set()
+    with trio.fail_after(3.5):
+        await jobs.until_state(JobState.completed, handed_in)
+    assert not jobs.world.faults()
+
+
+async def test_failed_copy_of_a_done_task_counts_for_nothing(
+    jobs: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """A task that is done stays so, whatever its other run ends with."""
+    jobs.add_workers('desk', 2)
+    await jobs.start_all(2)
+    slow = jobs.world.of(jobs.worker_on('desk-vm-2'))
+    slow.slowness = 5
+    slow.fails_all = True
+    steps = (
+        step(tasks=12, speculative=True),
+        step(tasks=2, after=(0,), speculative=True),
+    )
+    handed_in = job(steps=steps)
+    await jobs.submit(jobs.other('desk'), handed_in)
+    await jobs.until_state(JobState.completed, handed_in)
+    assert not jobs.world.faults()
+
+
 async def test_metrics_of_a_job(
     jobs: JobCluster,
     autojump_clock: MockClock,
