--- a/tests/builders.py
+++ b/tests/builders.py
@@ -9,11 +9,13 @@
 from typing import Any, cast
 
 from cyclamenshift import settings
+from cyclamenshift.decisions.lending import PoolView
 from cyclamenshift.decisions.merging import Document
 from cyclamenshift.directory import Catalog, Queue, Service
 from cyclamenshift.http1 import Address
-from cyclamenshift.job import Job, Room, Step
+from cyclamenshift.job import NOTHING, Job, Room, Step
 from cyclamenshift.model import EntryVm, Load, Request, Vm, VmState
+from cyclamenshift.provider import ProvidedVm, VmPhase
 from cyclamenshift.rows import BudgetRow, ClaimRow, VmRow
 from cyclamenshift.worker import Worker
 
@@ -152,6 +154,38 @@
     return Catalog(**(values | changes))
 
 
+def provided_vm(vm_id: str = 'vm-1', **changes: Any) -> ProvidedVm:
+    """Return a VM with 32 cores that is up."""
+    values: dict[str, Any] = {
+        'vm_id': vm_id,
+        'pool': 'desk',
+        'phase': VmPhase.up,
+        'data_centre': 'dc-1',
+        'rack': 'rack-1',
+        'labels': frozenset(),
+        'room': Room(32_000, 65_536),
+        'worker_id': '',
+    }
+    return ProvidedVm(**(values | changes))
+
+
+def pool_view(vms: int, **changes: Any) -> PoolView:
+    """Return an idle pool with so many VMs, all of them empty."""
+    service = changes.get('service', 'desk')
+    ids = [f'{service}-{number}' for number in range(vms)]
+    values: dict[str, Any] = {
+        'service': service,
+        'spare': False,
+        'vms': tuple(provided_vm(vm_id, pool=service) for vm_id in ids),
+        'used': NOTHING,
+        'waiting': NOTHING,
+        'expected': NOTHING,
+        'spread': 0,
+        'empty': frozenset(ids),
+    }
+    return PoolView(**(values | changes))
+
+
 def vm_row(**changes: Any) -> VmRow:
     """Return the row of a serving VM."""
     values: dict[str, Any] = {
