--- a/cyclamenshift/decisions/copies.py
+++ b/cyclamenshift/decisions/copies.py
@@ -7,10 +7,12 @@
 
 import statistics
 from collections.abc import Collection, Iterable
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, TypeAlias
 
 from .progress import Attempt, Life, Phase, Task
 
+#: A step of one occurrence of a job.
+StepKey: TypeAlias = tuple[str, int, int]
 #: A run is slow that takes so many times as long as those of its step do;
 #: the usual figure for speculative execution.
 SLOW_FACTOR: Final = 1.5
@@ -48,17 +50,23 @@
     Only tasks that may run twice get a copy, and one at a time.  *silent*
     are the workers that do not answer.
     """
+    usual: dict[StepKey, int] = {}
     slow = []
     for attempt in attempts:
-        if _may_copy(attempt.task):
-            run = SlowRun(
-                attempt,
-                age=now - attempt.since,
-                usual=_usual(attempt.task),
-                silent=_is_silent(attempt, silent),
-            )
-            if _is_slow(run):
-                slow.append(run)
+        task = attempt.task
+        if not _may_copy(task):
+            continue
+        key = task.task_id[:-1]
+        if key not in usual:
+            usual[key] = _usual(task)
+        run = SlowRun(
+            attempt,
+            age=now - attempt.since,
+            usual=usual[key],
+            silent=_is_silent(attempt, silent),
+        )
+        if _is_slow(run):
+            slow.append(run)
     return slow
 
 
@@ -81,7 +89,7 @@
 
 
 def _usual(task: Task) -> int:
-    """Return how long the runs of a step take, ms, 0 if too few are done."""
+    """Return how long the step's runs take, ms, 0 if too few are done."""
     siblings = task.job.siblings(task)
     times = [sibling.run_time for sibling in siblings if sibling.run_time]
     if len(times) < len(siblings) * KNOWN_SHARE:
