Give twins of this change one piece of code each

Cause: a last reading of the whole change found the same logic written twice. No assertion has changed.

--- a/cyclamenshift/controls/access.py
+++ b/cyclamenshift/controls/access.py
@@ -17,7 +17,7 @@
 
 from ..component import Dump, Host
 from ..control import Control
-from ..peer import Body, NoReply, Peer, Reporter
+from ..peer import Body, ChangedBody, NoReply, Peer, Reporter
 from ..plugin import register
 from ..rows import HEAD_KEY
 from ..store import (
@@ -198,7 +198,7 @@
         self.peers[entry_id] = news.reached
 
     def _news(self) -> Reporter:
-        return ReachNews(self)
+        return ChangedBody(lambda: StoreReach(self.reached))
 
     async def _answer_read(self, entry_id: str, call: ReadCall) -> Body:
         rows = self._note(await self.local.read(call.keys))
@@ -212,19 +212,3 @@
 
     async def _answer_commit(self, entry_id: str, call: CommitCall) -> Body:
         return self._note(await self.local.commit(call.transaction))
-
-
-class ReachNews:
-    """Tells one connection whether the store is reached, when that changes."""
-
-    def __init__(self, access: StoreAccess) -> None:
-        """Have told nothing yet."""
-        self.access = access
-        self.told: bool | None = None
-
-    def __call__(self) -> tuple[Body, ...]:
-        """Return the reach if it has changed."""
-        if self.told == self.access.reached:
-            return ()
-        self.told = self.access.reached
-        return (StoreReach(self.access.reached),)
--- a/cyclamenshift/controls/ownership.py
+++ b/cyclamenshift/controls/ownership.py
@@ -26,10 +26,10 @@
 )
 from ..directory import Directory
 from ..duty import Duty, Tenure
-from ..jobmessages import Holdings
+from ..jobmessages import Holding, Holdings
 from ..jobrows import OwnerRow, owner_key
 from ..model import EntryVm
-from ..peer import Body, NoReply, Peer, Reporter
+from ..peer import Body, ChangedBody, NoReply, Peer, Reporter
 from ..plugin import register
 from ..rows import typed
 from ..store import (
@@ -44,7 +44,6 @@
     Write,
     path_to_store,
 )
-from .holdings import HoldingsNews
 from .membership import Membership
 
 #: How often the owners are looked at, ms.
@@ -161,7 +160,15 @@
         self._wake.set()
 
     def _news(self) -> Reporter:
-        return HoldingsNews(self.tenures)
+        return ChangedBody(self._holdings)
+
+    def _holdings(self) -> Holdings:
+        return Holdings(
+            tuple(
+                Holding(domain, tenure.epoch)
+                for domain, tenure in self.tenures.items()
+            ),
+        )
 
     def _look(self, nursery: trio.Nursery) -> None:
         catalog = self.directory.catalog
--- a/cyclamenshift/decisions/copies.py
+++ b/cyclamenshift/decisions/copies.py
@@ -7,12 +7,11 @@
 
 import statistics
 from collections.abc import Collection, Iterable
-from typing import Final, NamedTuple, TypeAlias
+from typing import Final, NamedTuple
 
+from ..job import StepId
 from .progress import Attempt, Life, Phase, Task
 
-#: A step of one occurrence of a job.
-StepKey: TypeAlias = tuple[str, int, int]
 #: A run is slow that takes so many times as long as those of its step do;
 #: the usual figure for speculative execution.
 SLOW_FACTOR: Final = 1.5
@@ -50,13 +49,13 @@
     Only tasks that may run twice get a copy, and one at a time.  *silent*
     are the workers that do not answer.
     """
-    usual: dict[StepKey, int] = {}
+    usual: dict[StepId, int] = {}
     slow = []
     for attempt in attempts:
         task = attempt.task
         if not _may_copy(task):
             continue
-        key = task.task_id[:-1]
+        key = task.task_id.step_id
         if key not in usual:
             usual[key] = _usual(task)
         run = SlowRun(
--- a/cyclamenshift/decisions/placement.py
+++ b/cyclamenshift/decisions/placement.py
@@ -8,7 +8,7 @@
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import NamedTuple
 
-from ..job import Room, Step
+from ..job import Room, Step, StepId
 from ..worker import Worker
 from .book import room_of
 from .progress import Life, Task
@@ -57,10 +57,10 @@
     it can.  What does not fit waits, and does not hold up what comes after.
     """
     placements: list[Placement] = []
-    seen: set[tuple[str, int, int]] = set()
+    seen: set[StepId] = set()
     for task in tasks:
         if task.step.gang:
-            key = task.task_id[:-1]
+            key = task.task_id.step_id
             if key not in seen:
                 seen.add(key)
                 placements.extend(place_gang(task, benches.values()))
--- a/cyclamenshift/job.py
+++ b/cyclamenshift/job.py
@@ -6,7 +6,7 @@
 """
 
 import enum
-from typing import NamedTuple
+from typing import NamedTuple, TypeAlias
 
 
 class JobState(enum.StrEnum):
@@ -132,6 +132,10 @@
         return self._replace(accepted=0) == other._replace(accepted=0)
 
 
+#: A step of one occurrence of a job.
+StepId: TypeAlias = tuple[str, int, int]
+
+
 class TaskId(NamedTuple):
     """One task of one occurrence of a job's step; each counts from 0."""
 
@@ -140,6 +144,11 @@
     step: int
     ordinal: int
 
+    @property
+    def step_id(self) -> StepId:
+        """The step of the occurrence that the task is of."""
+        return (self.job_id, self.occurrence, self.step)
+
 
 class RunId(NamedTuple):
     """One start of a task; the number rises with each start."""
--- a/cyclamenshift/peer.py
+++ b/cyclamenshift/peer.py
@@ -112,6 +112,23 @@
     return shape
 
 
+class ChangedBody:
+    """A reporter of one body, which it gives when that has changed."""
+
+    def __init__(self, present: Callable[[], Body]) -> None:
+        """Have told nothing yet; *present* returns the body as it is now."""
+        self.present = present
+        self.told: Body | None = None
+
+    def __call__(self) -> tuple[Body, ...]:
+        """Return the body if it has changed."""
+        present = self.present()
+        if present == self.told:
+            return ()
+        self.told = present
+        return (present,)
+
+
 class Peer(Component):
     """The streams to all other entry VMs."""
 
--- a/cyclamenshift/platform/store.py
+++ b/cyclamenshift/platform/store.py
@@ -42,8 +42,6 @@
 #: How long the transactions of a part may wait for their turn, ms; the
 #: store turns more of them away.
 PART_QUEUE_MS: Final = 1_000
-
-
 #: What the store says to a call that it would never carry out.
 WRONG_STATUSES: Final = frozenset(
     (HTTPStatus.BAD_REQUEST, HTTPStatus.REQUEST_ENTITY_TOO_LARGE),
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -214,19 +214,18 @@
         slow: Iterable[SlowRun],
         copies: Iterable[Placement],
     ) -> None:
-        chosen = {copy.task.task_id: copy for copy in copies}
-        for run in slow:
-            copy = chosen.get(run.attempt.task.task_id)
-            if copy:
-                self.state.log.note(
-                    'A run is copied.',
-                    run=run.attempt.run,
-                    worker=run.attempt.life[0],
-                    copy_worker=copy.life[0],
-                    age_ms=run.age,
-                    usual_ms=run.usual,
-                    silent=run.silent,
-                )
+        copied = {run.attempt.task.task_id: run for run in slow}
+        for copy in copies:
+            run = copied[copy.task.task_id]
+            self.state.log.note(
+                'A run is copied.',
+                run=run.attempt.run,
+                worker=run.attempt.life[0],
+                copy_worker=copy.life[0],
+                age_ms=run.age,
+                usual_ms=run.usual,
+                silent=run.silent,
+            )
 
     def _note_shortage(self, benches: dict[Life, Bench]) -> None:
         """Log each job once when its tasks begin to wait for room."""
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -38,7 +38,13 @@
 from cyclamenshift.store import ABSENT
 from cyclamenshift.worker import Worker
 
-from ..builders import WALL_START, catalog, entry_settings, worker
+from ..builders import (
+    WALL_START,
+    catalog,
+    entry_settings,
+    provided_vm,
+    worker,
+)
 from .fakes import EntryGroup, FakePeer, FakeStore, run_in
 from .workers import FakeWorkerClient, Workers, now_ms
 
@@ -185,15 +191,13 @@
     def add_vm(self, vm_id: str, service: str, **changes: Any) -> None:
         """Start a VM in the pool of *service*, with a worker if not spare."""
         made = worker(f'{vm_id}-w0', service=service, vm_id=vm_id, **changes)
-        self.site.vms[vm_id] = ProvidedVm(
-            vm_id=vm_id,
+        self.site.vms[vm_id] = provided_vm(
+            vm_id,
             pool=service,
-            phase=VmPhase.up,
             data_centre=made.data_centre,
             rack=made.rack,
             labels=made.labels,
             room=made.room,
-            worker_id='',
         )
         self.register(vm_id)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -21,6 +21,14 @@
 SMALL = Room(2_000, 16_384)
 
 
+def add_small_pools(jobs: JobCluster, spare: int) -> None:
+    """Give each service one small VM, and *spare* ones to the spare pool."""
+    jobs.add_workers('desk', 1, room=SMALL)
+    jobs.add_workers('billing', 1, room=SMALL)
+    for number in range(spare):
+        jobs.add_vm(f'portal-vm-{number}', 'portal', room=SMALL)
+
+
 def most_down(jobs: JobCluster) -> int:
     """Return how many VMs were down for maintenance at a time."""
     begins = [order.at for order in jobs.site.orders if order.maintenance]
@@ -102,10 +110,7 @@
     autojump_clock: MockClock,
 ) -> None:
     """After a restart of all of them nobody waits for an earlier owner."""
-    jobs.add_workers('desk', 1, room=SMALL)
-    jobs.add_workers('billing', 1, room=SMALL)
-    for number in range(3):
-        jobs.add_vm(f'portal-vm-{number}', 'portal', room=SMALL)
+    add_small_pools(jobs, spare=3)
     await jobs.start_all(3)
     for entry_id in tuple(jobs.entries):
         jobs.kill(entry_id)
@@ -122,10 +127,7 @@
     autojump_clock: MockClock,
 ) -> None:
     """Its successor waits only for the VMs that were ordered lately."""
-    jobs.add_workers('desk', 1, room=SMALL)
-    jobs.add_workers('billing', 1, room=SMALL)
-    for number in range(6):
-        jobs.add_vm(f'portal-vm-{number}', 'portal', room=SMALL)
+    add_small_pools(jobs, spare=6)
     await jobs.start_all(3)
     await trio.sleep(1.5)
     manager = jobs.manager()
@@ -155,10 +157,7 @@
     autojump_clock: MockClock,
 ) -> None:
     """VMs come from the spare pool on demand, and go back after it."""
-    jobs.add_workers('desk', 1, room=SMALL)
-    jobs.add_workers('billing', 1, room=SMALL)
-    for number in range(3):
-        jobs.add_vm(f'portal-vm-{number}', 'portal', room=SMALL)
+    add_small_pools(jobs, spare=3)
     (entry,) = await jobs.start_all(1)
     wide = job(steps=(step(tasks=24),))
     await jobs.submit(entry, wide)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -19,15 +19,16 @@
 from cyclamenshift.commands import jobs as commands
 from cyclamenshift.component import Dump
 from cyclamenshift.controls.desk import NoSuchJob, Stored
+from cyclamenshift.directory import Queue
 from cyclamenshift.frontends.job_operators import JobOperatorFrontend
-from cyclamenshift.job import JobState, Room, TaskId
+from cyclamenshift.job import Job, JobState, Room, TaskId
 from cyclamenshift.jobrows import JOB_TABLE
 from cyclamenshift.kernel import Kernel
 from cyclamenshift.scheduling.keeper import Keeper
 
 from .builders import catalog, job, step
 from .standins.fakes import STORE_CALL_MS
-from .standins.jobs import JobCluster
+from .standins.jobs import JobCluster, JobEntry
 
 #: A transaction where the platform is slow, and how long a caller is let
 #: wait, ms.
@@ -223,15 +224,10 @@
 ) -> None:
     """The owner keeps it until the configuration tells of the queue."""
     jobs.add_workers('desk', 2)
-    entry = (await jobs.start_all(2))[0]
     handed_in = job()
-    queue = jobs.queue_of(handed_in)
-    known = catalog()
-    jobs.site.catalog = known._replace(queues={})
-    jobs.know(handed_in)
-    assert isinstance(await entry.desk.submit(queue, handed_in, 3_000), Stored)
+    await _submit_unheard_of(jobs, handed_in)
     await trio.sleep(3)
-    jobs.site.catalog = known
+    jobs.site.catalog = catalog()
     await jobs.until_state(JobState.completed, handed_in)
 
 
@@ -241,21 +237,29 @@
 ) -> None:
     """No task of it runs when the configuration tells of the queue."""
     jobs.add_workers('desk', 2)
-    entry = (await jobs.start_all(2))[0]
     handed_in = job()
-    queue = jobs.queue_of(handed_in)
-    known = catalog()
-    jobs.site.catalog = known._replace(queues={})
-    jobs.know(handed_in)
-    assert isinstance(await entry.desk.submit(queue, handed_in, 3_000), Stored)
+    entry, queue = await _submit_unheard_of(jobs, handed_in)
     cancelled = await entry.desk.cancel(queue, handed_in.job_id, 3_000)
     assert isinstance(cancelled, Stored)
     await trio.sleep(3)
-    jobs.site.catalog = known
+    jobs.site.catalog = catalog()
     await jobs.until_state(JobState.cancelled, handed_in)
     assert not jobs.world.started
 
 
+async def _submit_unheard_of(
+    jobs: JobCluster,
+    handed_in: Job,
+) -> tuple[JobEntry, Queue]:
+    """Hand a job in while the configuration tells of no queue."""
+    entry = (await jobs.start_all(2))[0]
+    queue = jobs.queue_of(handed_in)
+    jobs.site.catalog = catalog(queues={})
+    jobs.know(handed_in)
+    assert isinstance(await entry.desk.submit(queue, handed_in, 3_000), Stored)
+    return entry, queue
+
+
 @pytest.mark.parametrize('after', range(5))
 async def test_cancel_is_found_while_a_look_for_jobs_hangs(
     after: int,
