Look for the workers of a VM again while it is vacated

Cause: a scheduler that took over at 10.937 s was asked for a VM before it had found the VM's worker. The workers of the VM were looked up once, at the start of the call, so the list stayed empty; when the scheduler had found the workers of all recorded runs, an empty list counted as an empty VM, and the move at 11.064 s ended two tasks where one may be away. Ruled out: the disruption limit itself (no eviction was ordered), and the move of another manager.

The test fails before the change (the VM is said to be empty while its run has 4 s to go).

--- a/cyclamenshift/scheduling/vacating.py
+++ b/cyclamenshift/scheduling/vacating.py
@@ -27,23 +27,17 @@
     Once empty, the VM stays reserved for ``RESERVATION_MS``.  If the time is
     too short, new runs may start on it again at once.
     """
-    sessions = [
-        session
-        for session in state.sessions.values()
-        if session.worker.vm_id == vm_id
-    ]
     deadline = state.clock.now() + wait
-    for reserved in sessions:
-        reserved.reserved_until = deadline + RESERVATION_MS
+    _reserve(state, vm_id, deadline + RESERVATION_MS)
     async with trio.open_nursery() as nursery:
-        while _occupied(state, sessions) and state.clock.remaining(deadline):
-            for session in sessions:
+        while _occupied(state, vm_id) and state.clock.remaining(deadline):
+            for session in _sessions_at(state, vm_id):
                 evict(state, session, nursery)
             await state.clock.sleep(POLL_INTERVAL_MS)
-    empty = not _occupied(state, sessions)
+            _reserve(state, vm_id, deadline + RESERVATION_MS)
+    empty = not _occupied(state, vm_id)
     until = state.clock.now() + RESERVATION_MS if empty else 0
-    for released in sessions:
-        released.reserved_until = until
+    _reserve(state, vm_id, until)
     state.wake()
     return empty
 
@@ -60,13 +54,29 @@
             nursery.start_soon(stop_attempt, state, session, attempt)
 
 
-def _occupied(state: ServiceState, sessions: list[WorkerSession]) -> bool:
+def _sessions_at(state: ServiceState, vm_id: str) -> list[WorkerSession]:
+    """Return the sessions of the workers on a VM that are known by now."""
+    return [
+        session
+        for session in state.sessions.values()
+        if session.worker.vm_id == vm_id
+    ]
+
+
+def _reserve(state: ServiceState, vm_id: str, until: int) -> None:
+    """Start no run on a VM before *until*, monotonic ms."""
+    for session in _sessions_at(state, vm_id):
+        session.reserved_until = until
+
+
+def _occupied(state: ServiceState, vm_id: str) -> bool:
     """
-    Return whether a worker has runs, or ends that only it remembers.
+    Return whether a worker on a VM has runs, or ends that only it remembers.
 
     Without a session it may be the worker of recorded runs, as long as there
     are runs at workers that this scheduler has not found yet.
     """
+    sessions = _sessions_at(state, vm_id)
     if not sessions:
         tracker = state.tracker
         return bool(tracker.attempts_by_worker.keys() - state.sessions.keys())
--- a/tests/test_vacating.py
+++ b/tests/test_vacating.py
@@ -8,7 +8,8 @@
 import trio
 from trio.testing import MockClock
 
-from cyclamenshift.job import JobState
+from cyclamenshift.job import JobState, TaskId
+from cyclamenshift.scheduling.service import ServiceScheduler
 
 from .builders import job, step
 from .standins.jobs import JobCluster
@@ -52,3 +53,27 @@
     scheduler = entry.scheduler.schedulers['desk']
     scheduler.state.sessions.clear()
     assert not await scheduler.vacate('desk-vm-1', 0)
+
+
+async def test_vm_whose_worker_is_found_late_is_taken_for_empty(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """A new scheduler is asked for a VM just before it finds the worker."""
+    job_cluster.add_workers('desk', 1)
+    (entry,) = await job_cluster.start_all(1)
+    job_cluster.workers.run_ms[TaskId('job-1', 0, 0, 0)] = 10 * VACATE_MS
+    await job_cluster.submit(entry, job(steps=(step(tasks=1),)))
+    await job_cluster.wait_until(lambda: job_cluster.workers.started_runs)
+    await trio.sleep(0.2)
+    scheduler = entry.scheduler.schedulers['desk']
+    found_late = dict(scheduler.state.sessions)
+    scheduler.state.sessions.clear()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_assert_occupied, scheduler)
+        await trio.sleep(0.05)
+        scheduler.state.sessions.update(found_late)
+
+
+async def _assert_occupied(scheduler: ServiceScheduler) -> None:
+    assert not await scheduler.vacate('desk-vm-1', VACATE_MS)
