--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -454,6 +454,16 @@
         self.network.peers.pop(entry_id, None)
         self.entries.pop(entry_id).cancel_scope.cancel()
 
+    def crash_host(self, entry_id: str) -> None:
+        """Stop an entry VM whose host then answers nothing at all."""
+        self.network.silenced.add(entry_id)
+        self.network.overloaded.add(entry_id)
+        self.kill(entry_id)
+
+    def restore_host(self, entry_id: str) -> None:
+        """Let new connections to a host work again."""
+        self.network.overloaded.discard(entry_id)
+
 
 class RequestCluster(EntryGroup[RequestEntry]):
     """Entry VMs that serve requests and share a store and workers."""
