Tell how old the view of the configuration is

The logs could not tell when an entry VM had last confirmed its view, nor why a relayed read failed, so a read that does not fit its timeout and timeouts in a row looked alike. No behaviour changes.

--- a/cyclamenshift/controls/store_access.py
+++ b/cyclamenshift/controls/store_access.py
@@ -180,11 +180,36 @@
             return NoReply(sent=False, reason=UNREACHABLE.reason)
         relay = relays[next(self.round_robin) % len(relays)]
         self.relayed_calls += 1
+        asked_at = self.clock.now()
         reply = await self.peer.call(relay, call, wait + PEER_TIMEOUT_MS)
+        self._record_relayed(relay, call, reply, asked_at)
         if isinstance(reply, NoReply):
             self.reachable_from[relay] = False
         return reply
 
+    def _record_relayed(
+        self,
+        relay: str,
+        call: Payload,
+        reply: Payload | NoReply,
+        asked_at: int,
+    ) -> None:
+        """Count a relayed call, and log one that failed."""
+        operation = type(call).__name__
+        result = type(reply).__name__
+        self.kernel.metrics.store_calls.inc(
+            {'operation': f'relayed {operation}', 'result': result},
+        )
+        if isinstance(reply, NoReply | Unavailable):
+            self.log.note(
+                'Relayed store call failed.',
+                relay=relay,
+                call=operation,
+                result=result,
+                reason=reply.reason,
+                took_ms=self.clock.now() - asked_at,
+            )
+
     def _record_reachability(self, result: ResultType) -> ResultType:
         """Record whether *result* shows that the direct path works."""
         reached = not isinstance(result, Unavailable | Uncertain)
--- a/cyclamenshift/loadmetrics.py
+++ b/cyclamenshift/loadmetrics.py
@@ -154,6 +154,10 @@
             'loop_delay_ms',
             'Time by which the event loop woke a task too late, ms.',
         )
+        self.activation_lag_ms = self._timing(
+            'activation_lag_ms',
+            'Longest possible delay of an activated configuration, ms.',
+        )
         self.tasks_waiting = self._reading(
             'tasks_waiting',
             'Tasks that wait for a worker, by service owned here.',
--- a/cyclamenshift/platform/directory.py
+++ b/cyclamenshift/platform/directory.py
@@ -87,6 +87,9 @@
         self._maintenances: dict[int, Maintenance] = {}
         self.watchers: set[str] = set()
         self.unreadable_rows: dict[str, str] = {}
+        self.confirmed_at = dict.fromkeys(
+            (OPERATOR_TABLE, WORKER_TABLE), self.clock.now()
+        )
         self._changed = trio.Event()
         self._watcher_added = trio.Event()
 
@@ -144,6 +147,10 @@
         """Return the active version, the ids and the unreadable rows."""
         return {
             'version': self._catalog.version if self._catalog else None,
+            'confirmed_ms_ago': {
+                table: self.clock.now() - confirmed_at
+                for table, confirmed_at in self.confirmed_at.items()
+            },
             'workers': sorted(self._workers),
             'maintenances': sorted(self._maintenances),
             'unreadable': self.unreadable_rows,
@@ -167,11 +174,13 @@
     async def _update(self, cursor: TableCursor, wait: int) -> TableCursor:
         """Apply the changes after *cursor*, or read the whole table."""
         next_scan = cursor.next_scan
+        asked_at = self.clock.now()
         if cursor.scanned:
             result = await self.store.follow(cursor.table, cursor.version, wait)
         else:
             await self.clock.sleep(self.clock.remaining(next_scan))
-            next_scan = self.clock.now() + MIN_SCAN_INTERVAL_MS
+            asked_at = self.clock.now()
+            next_scan = asked_at + MIN_SCAN_INTERVAL_MS
             result = await self.store.scan(cursor.table)
         if isinstance(result, HistoryLost):
             return cursor._replace(scanned=False)
@@ -182,6 +191,7 @@
             self._apply_registrations(result, full_scan=not cursor.scanned)
         else:
             self._apply_operator_rows(result)
+        self.confirmed_at[cursor.table] = asked_at
         version = max(cursor.version, result.version)
         return TableCursor(cursor.table, version, True, next_scan)
 
@@ -200,9 +210,12 @@
             self._record_unreadable(row, body)
         elif self._catalog is None or body['version'] > self._catalog.version:
             self._catalog = decode_catalog(body)
+            unconfirmed = self.clock.now() - self.confirmed_at[OPERATOR_TABLE]
+            self.kernel.metrics.load.activation_lag_ms.record(unconfirmed)
             self.log.note(
                 'Configuration activated.',
                 version=body['version'],
+                unconfirmed_ms=unconfirmed,
             )
 
     def _apply_maintenance(self, row: Row) -> None:
