--- a/cyclamenshift/platform/directory.py
+++ b/cyclamenshift/platform/directory.py
@@ -211,7 +211,8 @@
         elif self._catalog is None or body['version'] > self._catalog.version:
             self._catalog = decode_catalog(body)
             unconfirmed = self.clock.now() - self.confirmed_at[OPERATOR_TABLE]
-            self.kernel.metrics.load.activation_lag_ms.record(unconfirmed)
+            load = self.kernel.metrics.load
+            load.activation_lag_ms.record(unconfirmed)
             self.log.note(
                 'Configuration activated.',
                 version=body['version'],
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -157,6 +157,30 @@
     return Catalog(**(values | overrides))
 
 
+def configuration_fields(version: int, routes: int = 2) -> dict[str, Any]:
+    """Return the fields of the operator's row with *routes* routes."""
+    return {
+        'version': version,
+        'routes': [
+            {
+                'name': f'route-{number}',
+                'host': 'jobs.example',
+                'prefix': f'/route-{number}/',
+                'service': 'desk',
+                'kind': 'non_idempotent',
+                'timeoutMs': 3_000,
+                'priority': 0,
+                'maxAttempts': 2,
+                'stretch': 1.5,
+                'targetDurationMs': 600,
+            }
+            for number in range(routes)
+        ],
+        'services': [{'name': 'desk', 'rejectsOverload': True}],
+        'limits': {'maxBodyBytes': 262_144},
+    }
+
+
 def provided_vm(vm_id: str = 'vm-1', **overrides: Any) -> ProvidedVm:
     """Return a VM with 32 cores that is up."""
     values: dict[str, Any] = {
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -81,8 +81,9 @@
     The data behind all store clients, and the failures to simulate.
 
     The responses of the next ``lose_answers`` commits are lost.  Calls fail if
-    the store is ``down`` or the entry VM is in ``cut_off``; those that follow
-    a table in ``hung_tables`` time out.  A call takes ``delay`` ms, and a
+    the store is ``down`` or the entry VM is in ``cut_off``; those of an entry
+    VM in ``silent_to`` get no answer, and those that follow a table in
+    ``hung_tables`` time out.  A call takes ``delay`` ms, and a
     transaction keeps its partition busy for ``transaction_ms``.  ``scans``
     counts the scans by table; the next ``failing_scans`` of a table fail, and
     each takes ``scan_ms`` to return what it has read.
@@ -97,6 +98,7 @@
         self.delay = STORE_CALL_MS
         self.transaction_ms = 0
         self.cut_off: set[str] = set()
+        self.silent_to: set[str] = set()
         self.hung_tables: set[str] = set()
         self.scans: Counter[str] = Counter()
         self.failing_scans: Counter[str] = Counter()
@@ -127,6 +129,11 @@
     name = 'fake'
     store: SharedStore
 
+    @property
+    def entry_id(self) -> str:
+        """The id of the entry VM that calls."""
+        return self.kernel.settings['entry']['id']
+
     async def read(self, keys: Sequence[Key]) -> list[Row] | Unavailable:
         """Return one row for each key."""
         return await self._call(lambda: self.store.table.read(keys))
@@ -209,11 +216,13 @@
         read: Callable[[], ReadType],
     ) -> ReadType | Unavailable:
         await self.clock.sleep(self.store.delay)
+        if self.entry_id in self.store.silent_to:
+            await self.clock.sleep(RESPONSE_TIMEOUT_MS)
+            return Unavailable('no answer')
         return Unavailable('down') if self._is_unreachable() else read()
 
     def _is_unreachable(self) -> bool:
-        entry_id = self.kernel.settings['entry']['id']
-        return self.store.down or entry_id in self.store.cut_off
+        return self.store.down or self.entry_id in self.store.cut_off
 
 
 class Run(NamedTuple):
--- a/tests/standins/paged_store.py
+++ b/tests/standins/paged_store.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from cyclamenshift.http1 import Address, Request, Response
+from cyclamenshift.http1 import Address, Request, Response, Result
 from cyclamenshift.platform.rows import encode_transaction
 from cyclamenshift.store import Fields, Key, Transaction, Write
 from cyclamenshift.table import Table
@@ -34,27 +34,28 @@
         self.page_sizes: list[int] = []
         self.opened = 0
 
-    async def call(self, address: Address, request: Request) -> Response:
+    async def call(self, address: Address, request: Request) -> Result:
         """Return the response to a call of the store."""
         query = {
             name: texts[0]
             for name, texts in parse_qs(urlsplit(request.target).query).items()
         }
-        body = msgspec.json.encode(self._page(query))
+        body = msgspec.json.encode(self.page(query))
         self.page_sizes.append(len(body))
         if self.insertions:
             write = self.insertions.pop(0)
             self.table.commit(Transaction((), (write,)))
         return Response(200, {}, body)
 
-    def _page(self, query: dict[str, str]) -> dict[str, Any]:
+    def page(self, query: dict[str, str]) -> dict[str, Any]:
+        """Return one page of the rows that *query* names."""
         scanned = self.table.scan(query['table'], query.get('part', ''))
         limit = min(MAX_PAGE_ROWS, int(query.get('limit', MAX_PAGE_ROWS)))
         start = query.get('from', '')
         rows = [row for row in scanned.rows if row.key.name >= start]
         return {
             'rows': [
-                _row_body(row.key, row.version, row.fields)
+                row_body(row.key, row.version, row.fields)
                 for row in rows[:limit]
             ],
             'hasMore': len(rows) > limit,
@@ -62,7 +63,8 @@
         }
 
 
-def _row_body(key: Key, version: int, fields: Fields) -> dict[str, Any]:
+def row_body(key: Key, version: int, fields: Fields) -> dict[str, Any]:
+    """Return a row as the platform's store sends it."""
     write = Write(key, fields)
     body = encode_transaction(Transaction((), (write,)))
     return {**body['puts'][0], 'ver': version}
