Read the newest rows of a table when the view of it is old

Callers were answered by an old configuration after an entry VM had missed several: the feed brings each version, so the cost of catching up grew with what was missed, while more was written. When a view is older than 1.5 s, or an answer held several versions of a row, the newest rows are read instead; repeated scans only while they bring something new, so that a slow link alone does not cause one after the other. A long poll is held until the view is 1 s old, in place of 1.5 s each time.

Weighed: reading the newest rows always costs a whole configuration each second; peers that tell each other their versions need a message that running builds refuse.

--- a/cyclamenshift/platform/directory.py
+++ b/cyclamenshift/platform/directory.py
@@ -5,12 +5,13 @@
 The directory, read from the operator's rows and the worker registrations.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
 import trio
 
 from ..component import Dump, Host
+from ..decisions.catchup import TableRead, should_scan
 from ..directory import Catalog, Directory, Maintenance
 from ..job import JobState
 from ..plugin import register
@@ -44,10 +45,10 @@
     convert,
 )
 
-#: Duration of a long poll for changes of the operator's rows, ms.  It is
-#: short enough that a new configuration is active in time even if one poll
-#: hangs.
-OPERATOR_WAIT_MS: Final = 1_500
+#: The age to which the view of the operator's rows may grow while a long poll
+#: waits for a change, ms.  A new configuration is active in time even if one
+#: poll hangs.
+OPERATOR_AGE_MS: Final = 1_000
 #: Interval between polls of the registrations, ms.  Long polls don't help
 #: here, because heartbeats change the registrations all the time.
 WORKERS_POLL_MS: Final = 150
@@ -62,14 +63,15 @@
     """
     The version up to which a table was read.
 
-    While ``scanned`` is false, the next read must scan the whole table, not
-    before ``next_scan``, monotonic ms.
+    While ``scanned`` is false, the next read must scan the whole table.  No
+    scan starts before ``next_scan``, monotonic ms.
     """
 
     table: str
     version: int
     scanned: bool
     next_scan: int = 0
+    last_read: TableRead = TableRead(True, False, False)
 
 
 @register
@@ -159,7 +161,8 @@
     async def _follow_operator_rows(self) -> None:
         cursor = TableCursor(OPERATOR_TABLE, ABSENT, scanned=False)
         while True:
-            cursor = await self._update(cursor, OPERATOR_WAIT_MS)
+            age = self._age_of(OPERATOR_TABLE)
+            cursor = await self._update(cursor, max(0, OPERATOR_AGE_MS - age))
 
     async def _follow_registrations(self) -> None:
         cursor = TableCursor(WORKER_TABLE, ABSENT, scanned=False)
@@ -172,37 +175,72 @@
             await self.clock.sleep(WORKERS_POLL_MS)
 
     async def _update(self, cursor: TableCursor, wait: int) -> TableCursor:
-        """Apply the changes after *cursor*, or read the whole table."""
-        next_scan = cursor.next_scan
+        """Apply the changes after *cursor*, or the newest rows."""
+        if not cursor.scanned:
+            await self.clock.sleep(self.clock.remaining(cursor.next_scan))
         asked_at = self.clock.now()
-        if cursor.scanned:
-            result = await self.store.follow(cursor.table, cursor.version, wait)
-        else:
-            await self.clock.sleep(self.clock.remaining(next_scan))
-            asked_at = self.clock.now()
-            next_scan = asked_at + MIN_SCAN_INTERVAL_MS
-            result = await self.store.scan(cursor.table)
+        full_scan = self._needs_scan(cursor, asked_at)
+        result = await self._read(cursor, wait, full_scan=full_scan)
         if isinstance(result, HistoryLost):
             return cursor._replace(scanned=False)
         if isinstance(result, Unavailable):
             await self.clock.sleep(RETRY_DELAY_MS)
             return cursor
-        if cursor.table == WORKER_TABLE:
-            self._apply_registrations(result, full_scan=not cursor.scanned)
+        last_read = self._apply(cursor.table, result, full_scan=full_scan)
+        held = 0 if full_scan or result.rows else wait
+        self.confirmed_at[cursor.table] = asked_at + held
+        return TableCursor(
+            cursor.table,
+            max(cursor.version, result.version),
+            scanned=True,
+            next_scan=(
+                asked_at + MIN_SCAN_INTERVAL_MS
+                if full_scan
+                else cursor.next_scan
+            ),
+            last_read=last_read,
+        )
+
+    async def _read(
+        self, cursor: TableCursor, wait: int, *, full_scan: bool
+    ) -> Snapshot | HistoryLost | Unavailable:
+        if full_scan:
+            return await self.store.scan(cursor.table)
+        return await self.store.follow(cursor.table, cursor.version, wait)
+
+    def _needs_scan(self, cursor: TableCursor, now: int) -> bool:
+        """Return whether to read the newest rows instead of the changes."""
+        if not cursor.scanned:
+            return True
+        age = self._age_of(cursor.table)
+        return now >= cursor.next_scan and should_scan(cursor.last_read, age)
+
+    def _age_of(self, table: str) -> int:
+        return self.clock.now() - self.confirmed_at[table]
+
+    def _apply(
+        self, table: str, snapshot: Snapshot, *, full_scan: bool
+    ) -> TableRead:
+        newest = {row.key: row for row in snapshot.rows}
+        if table == WORKER_TABLE:
+            changed = self._apply_registrations(
+                newest.values(), full_scan=full_scan
+            )
         else:
-            self._apply_operator_rows(result)
-        self.confirmed_at[cursor.table] = asked_at
-        version = max(cursor.version, result.version)
-        return TableCursor(cursor.table, version, True, next_scan)
+            changed = self._apply_operator_rows(newest.values())
+        if changed:
+            self._notify_change()
+        return TableRead(full_scan, changed, len(newest) < len(snapshot.rows))
 
-    def _apply_operator_rows(self, snapshot: Snapshot) -> None:
-        for row in snapshot.rows:
+    def _apply_operator_rows(self, rows: Iterable[Row]) -> bool:
+        """Apply the newest *rows*; return whether anything has changed."""
+        previous = (self._catalog, dict(self._maintenances))
+        for row in rows:
             if row.key.name == CONFIG_KEY:
                 self._apply_config(row)
             elif row.key.name.startswith(MAINTENANCE_PREFIX):
                 self._apply_maintenance(row)
-        if snapshot.rows:
-            self._notify_change()
+        return previous != (self._catalog, self._maintenances)
 
     def _apply_config(self, row: Row) -> None:
         body = convert(row.fields, ConfigBody)
@@ -210,7 +248,7 @@
             self._record_unreadable(row, body)
         elif self._catalog is None or body['version'] > self._catalog.version:
             self._catalog = decode_catalog(body)
-            unconfirmed = self.clock.now() - self.confirmed_at[OPERATOR_TABLE]
+            unconfirmed = self._age_of(OPERATOR_TABLE)
             load = self.kernel.metrics.load
             load.activation_lag_ms.record(unconfirmed)
             self.log.note(
@@ -229,21 +267,21 @@
 
     def _apply_registrations(
         self,
-        snapshot: Snapshot,
+        rows: Iterable[Row],
         *,
         full_scan: bool,
-    ) -> None:
+    ) -> bool:
+        """Apply the newest *rows*; return whether anything has changed."""
         previous = dict(self._workers)
         if full_scan:
             self._workers.clear()
-        for row in snapshot.rows:
+        for row in rows:
             worker = self._decode_registration(row)
             if worker is None:
                 self._workers.pop(row.key.name, None)
             else:
                 self._workers[row.key.name] = worker
-        if self._workers != previous:
-            self._notify_change()
+        return self._workers != previous
 
     def _decode_registration(self, row: Row) -> Worker | None:
         if row.version == ABSENT:
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -105,6 +105,24 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_large_configurations_are_not_read_one_by_one(
+    nursery: trio.Nursery,
+    autojump_clock: MockClock,
+) -> None:
+    """Each version was read while the next ones were written."""
+    client = SlowLinkClient(USUAL_RATE)
+    directory = build_directory(client)
+    client.put(CONFIG_ROW, configuration_fields(1, routes=MANY_ROUTES))
+    nursery.start_soon(directory.run)
+    await wait_until_active(directory, 1)
+    for version in range(2, 2 + OUTAGE_MS // STORM_PAUSE_MS):
+        client.put(CONFIG_ROW, configuration_fields(version, MANY_ROUTES))
+        await trio.sleep(STORM_PAUSE_MS / MS_PER_SECOND)
+        in_force = version - APPLY_MS // STORM_PAUSE_MS
+        assert active_version(directory) >= in_force
+    nursery.cancel_scope.cancel()
+
+
 async def test_large_configuration_passes_the_smallest_link(
     nursery: trio.Nursery,
     autojump_clock: MockClock,
