Put a relayed read to another peer when one does not answer it

Callers were answered by an old configuration: a relayed read waited up to 4.1 s for one peer that did not reach the store in time, after a direct read that had taken its whole hold, and a peer that once gave no reply was not asked again until its own reach changed. A read now goes to the next of three relays when one fails, or 0.4 s after it should have answered; the time that the direct read was held counts; a relay that gave no reply is left out for 2 s. Commits go through one relay as before, since a lost answer leaves them uncertain.

--- a/cyclamenshift/controls/store_access.py
+++ b/cyclamenshift/controls/store_access.py
@@ -40,12 +40,17 @@
     ScanCall,
     StoreReach,
 )
+from .relayed_read import RelayedRead
 
 #: The interval at which a lost direct path to the store is probed, ms.
 PROBE_INTERVAL_MS: Final = 400
 #: The timeout of a relayed store call, ms: the time that the store itself
 #: may take.
 PEER_TIMEOUT_MS: Final = 2_600
+#: The most relays that are asked for one read.
+MAX_RELAYS: Final = 3
+#: How long a relay that gave no reply is not asked again, ms.
+RELAY_PAUSE_MS: Final = 2_000
 
 ResultType = TypeVar('ResultType')
 UNREACHABLE: Final = Unavailable('neither this entry VM nor a peer reaches it')
@@ -66,6 +71,7 @@
         self.peer = kernel.get(Peer)
         self.store_reachable = True
         self.reachable_from: dict[str, bool] = {}
+        self.paused_until: dict[str, int] = {}
         self.round_robin = itertools.count()
         self.relayed_calls = 0
         self._direct_path_lost = trio.Event()
@@ -98,7 +104,7 @@
             rows = self._record_reachability(await self.store.read(keys))
             if not isinstance(rows, Unavailable):
                 return rows
-        reply = await self._relay(ReadCall(tuple(keys)))
+        reply = await self._relay_read(ReadCall(tuple(keys)))
         return (
             list(reply.rows) if isinstance(reply, RowsAnswer) else UNREACHABLE
         )
@@ -115,7 +121,7 @@
             )
             if not isinstance(found, Unavailable):
                 return found
-        reply = await self._relay(ScanCall(table, partition))
+        reply = await self._relay_read(ScanCall(table, partition))
         return reply if isinstance(reply, Snapshot) else UNREACHABLE
 
     async def follow(
@@ -125,13 +131,17 @@
         wait: int,
     ) -> Snapshot | HistoryLost | Unavailable:
         """Return the rows of a table that changed after *version*."""
+        deadline = self.clock.now() + wait
         if self._use_direct_path():
             found = self._record_reachability(
                 await self.store.follow(table, version, wait),
             )
             if not isinstance(found, Unavailable):
                 return found
-        reply = await self._relay(FollowCall(table, version, wait), wait)
+        remaining = self.clock.remaining(deadline)
+        reply = await self._relay_read(
+            FollowCall(table, version, remaining), remaining
+        )
         if isinstance(reply, Snapshot | HistoryLost):
             return reply
         return UNREACHABLE
@@ -167,24 +177,51 @@
         return self.store_reachable or not self._relays()
 
     def _relays(self) -> list[str]:
+        """Return the peers that reach the store, the next one to ask first."""
         reachable = self.peer.reachable()
-        return sorted(
+        relays = sorted(
             entry_id
             for entry_id, reached in self.reachable_from.items()
             if reached and entry_id in reachable
         )
+        now = self.clock.now()
+        rested = [
+            relay for relay in relays if self.paused_until.get(relay, 0) <= now
+        ]
+        return rested or relays
 
-    async def _relay(self, call: Payload, wait: int = 0) -> Payload | NoReply:
+    def _next_relays(self, count: int) -> list[str]:
+        """Return at most *count* relays, each time others first."""
         relays = self._relays()
+        if not relays:
+            return []
+        start = next(self.round_robin) % len(relays)
+        return [*relays[start:], *relays[:start]][:count]
+
+    async def _relay_read(
+        self, call: Payload, wait: int = 0
+    ) -> Payload | Unavailable:
+        """Return the first useful reply to a read that the store may hold."""
+        relayed = RelayedRead(self.clock, self._call_relay)
+        relays = self._next_relays(MAX_RELAYS)
+        reply = await relayed.run(relays, call, wait)
+        return UNREACHABLE if reply is None else reply
+
+    async def _relay(self, call: Payload) -> Payload | NoReply:
+        relays = self._next_relays(1)
         if not relays:
             return NoReply(sent=False, reason=UNREACHABLE.reason)
-        relay = relays[next(self.round_robin) % len(relays)]
+        return await self._call_relay(relays[0], call, 0)
+
+    async def _call_relay(
+        self, relay: str, call: Payload, wait: int
+    ) -> Payload | NoReply:
         self.relayed_calls += 1
         asked_at = self.clock.now()
         reply = await self.peer.call(relay, call, wait + PEER_TIMEOUT_MS)
         self._record_relayed(relay, call, reply, asked_at)
         if isinstance(reply, NoReply):
-            self.reachable_from[relay] = False
+            self.paused_until[relay] = self.clock.now() + RELAY_PAUSE_MS
         return reply
 
     def _record_relayed(
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -24,7 +24,13 @@
 from cyclamenshift.platform.frontend import PlatformFrontend
 from cyclamenshift.platform.store import PlatformStore
 from cyclamenshift.platform.wire import OPERATOR_TABLE
-from cyclamenshift.store import Key, Snapshot, Transaction, Write
+from cyclamenshift.store import (
+    HistoryLost,
+    Key,
+    Snapshot,
+    Transaction,
+    Write,
+)
 
 from .builders import WALL_START, configuration_fields, entry_settings
 from .standins.fakes import FakeStore, SharedStore
@@ -154,6 +160,19 @@
         assert access.clock.now() - started <= 100 + RELAY_MS
 
 
+async def test_lost_history_is_told_through_a_relay(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """The caller scans the table, instead of asking for changes for ever."""
+    entries = await job_cluster.start_all(2)
+    job_cluster.store.cut_off.add('entry-1')
+    job_cluster.store.table.discard_history()
+    access = entries[0].kernel.get(StoreAccess)
+    found = await access.follow(OPERATOR_TABLE, 0, 100)
+    assert isinstance(found, HistoryLost)
+
+
 @pytest.fixture
 async def entry(
     nursery: trio.Nursery, autojump_clock: MockClock
