Let no configuration decide requests that nobody has confirmed in time

Callers got counts for routes that had been dropped, and 404 for routes that had been added, from entry VMs that had not read the operator's rows for up to 16 s: a view had no age, so an entry VM that was cut off, choked or paused acted on it for as long as that lasted. Now the directory knows when the view was last confirmed. Submissions, counts and refusals of a queue wait 150 ms for a confirmation when it is older than the platform's bound, and then get 503: they have not run, and the caller comes back, to another entry VM. States and cancels of jobs are answered, because the job was accepted under a configuration that had its queue.

The same held after a pause: the first requests were decided by the view from before it.

--- a/cyclamenshift/directory.py
+++ b/cyclamenshift/directory.py
@@ -108,6 +108,15 @@
     def maintenances(self) -> Mapping[int, Maintenance]:
         """The requested maintenances by number."""
 
+    @abc.abstractmethod
+    async def wait_until_current(self, age: int, wait: int) -> bool:
+        """
+        Wait until the configuration was confirmed at most *age* ms ago.
+
+        A newer one may exist that was stored since it was last confirmed.
+        Returns False if it takes longer than *wait* ms.
+        """
+
     @abc.abstractmethod
     async def wait_for_change(self) -> None:
         """Wait until the catalog, the workers or the maintenances change."""
--- a/cyclamenshift/platform/directory.py
+++ b/cyclamenshift/platform/directory.py
@@ -93,6 +93,7 @@
             (OPERATOR_TABLE, WORKER_TABLE), self.clock.now()
         )
         self._changed = trio.Event()
+        self._confirmed = trio.Event()
         self._watcher_added = trio.Event()
 
     @property
@@ -120,6 +121,13 @@
             nursery.start_soon(self._follow_operator_rows)
             nursery.start_soon(self._follow_registrations)
 
+    async def wait_until_current(self, age: int, wait: int) -> bool:
+        """Wait until the configuration was confirmed at most *age* ms ago."""
+        with self.clock.move_on_after(wait):
+            while self._age_of(OPERATOR_TABLE) > age:
+                await self._confirmed.wait()
+        return self._age_of(OPERATOR_TABLE) <= age
+
     async def wait_for_change(self) -> None:
         """Wait until the catalog, the workers or the maintenances change."""
         await self._changed.wait()
@@ -189,6 +197,8 @@
         last_read = self._apply(cursor.table, result, full_scan=full_scan)
         held = 0 if full_scan or result.rows else wait
         self.confirmed_at[cursor.table] = asked_at + held
+        self._confirmed.set()
+        self._confirmed = trio.Event()
         return TableCursor(
             cursor.table,
             max(cursor.version, result.version),
--- a/cyclamenshift/platform/frontend.py
+++ b/cyclamenshift/platform/frontend.py
@@ -32,6 +32,8 @@
 
 #: The format of job ids.
 JOB_ID: Final = re.compile('[0-9a-f]{16}')
+#: The path of the readiness probes.
+READINESS_PATH: Final = '/v1/ready'
 #: The header with the id of a request, for the log.
 REQUEST_ID_HEADER: Final = 'Request-Id'
 #: The header with the time that the caller waits for the response, ms.
@@ -45,6 +47,11 @@
 MAX_TIMEOUT_MS: Final = 1_400
 
 
+#: How long a request may wait until the configuration is confirmed, ms: for
+#: one read of a store that answers slowly.
+CONFIRM_WAIT_MS: Final = 150
+
+
 class JobTarget(NamedTuple):
     """The queue and the job of a request; no job id for the queue itself."""
 
@@ -63,6 +70,7 @@
         super().__init__(kernel)
         self.directory = kernel.get(Directory)
         self.job_access = kernel.get(JobAccess)
+        self.configuration_age = kernel.settings['jobs']['configuration_age']
         self.drain_delay = kernel.settings['callers']['leaving_notice']
         self.app.before_request(self.handle_request)
         self.app.after_request(self._close_when_draining)
@@ -82,17 +90,44 @@
         """Return the response to the current request."""
         request = quart.request
         target = self._find_target(request.host, request.path)
+        if target is None and request.path == READINESS_PATH:
+            return empty_response(self._readiness_status())
+        if not _names_a_stored_job(target):
+            if not await self._is_configuration_current():
+                return self._refuse_unconfirmed()
+            target = self._find_target(request.host, request.path)
         if target is not None:
             started = self.clock.now()
             response = await self._handle_job_request(target)
             self._record_request(target, response, self.clock.now() - started)
             return response
-        if request.path == '/v1/ready':
-            return empty_response(self._readiness_status())
         if self.directory.catalog is None:
             return service_unavailable('there is no configuration yet')
         return empty_response(HTTPStatus.NOT_FOUND)
 
+    async def _is_configuration_current(self) -> bool:
+        """Return whether no newer configuration must be in force by now."""
+        return await self.directory.wait_until_current(
+            self.configuration_age, CONFIRM_WAIT_MS
+        )
+
+    def _refuse_unconfirmed(self) -> Response:
+        """Refuse a request that a newer configuration may decide otherwise."""
+        request = quart.request
+        self.kernel.metrics.requests.inc(
+            {
+                'service': '',
+                'outcome': str(HTTPStatus.SERVICE_UNAVAILABLE.value),
+            }
+        )
+        self.log.note(
+            'Request refused: the configuration is not confirmed.',
+            request=request.headers.get(REQUEST_ID_HEADER, ''),
+            method=request.method,
+            path=request.path,
+        )
+        return service_unavailable('the configuration is not confirmed')
+
     async def _handle_job_request(self, target: JobTarget) -> Response:
         if quart.request.method == 'POST':
             return await self._submit(target)
@@ -179,6 +214,17 @@
         return response
 
 
+def _names_a_stored_job(target: JobTarget | None) -> bool:
+    """
+    Return whether the request is about a job that may be stored.
+
+    Such a job was accepted under a configuration that had its queue, so its
+    caller learns its state, and can cancel it, also from an older one.
+    """
+    is_job = target is not None and bool(target.job_id)
+    return is_job and quart.request.method != 'POST'
+
+
 def _read_timeout() -> int:
     text = quart.request.headers.get(DEADLINE_HEADER, '')
     wait = int(text) if text.isdecimal() else DEFAULT_TIMEOUT_MS
--- a/cyclamenshift/platform/settings.py
+++ b/cyclamenshift/platform/settings.py
@@ -37,6 +37,8 @@
 #: Time for which a stopping process still accepts requests, ms.  The platform
 #: probes readiness every second and acts after two probes.
 DRAIN_DELAY_MS: Final = 2_600
+#: Default time within which a configuration must be in force, ms.
+DEFAULT_APPLY_MS: Final = 2_000
 #: The port of the operators' front end; deploy/system.toml repeats it.
 METRICS_PORT: Final = 9464
 #: The name of the adapter's plug-ins.
@@ -68,6 +70,8 @@
         # The time after the last order of a fleet manager within which
         # nobody else may give orders.
         'leaseMs': NotRequired[int],
+        # The time from storing a configuration until it must be in force.
+        'configApplyMs': NotRequired[int],
     },
 )
 #: One of the platform's services.
@@ -151,6 +155,7 @@
                 * MS_PER_SECOND
             ),
             'manager_lease': bounds.get('leaseMs', DEFAULT_MANAGER_LEASE_MS),
+            'configuration_age': bounds.get('configApplyMs', DEFAULT_APPLY_MS),
             'provider': body['cloud']['address'],
         },
     }
--- a/cyclamenshift/settings.py
+++ b/cyclamenshift/settings.py
@@ -96,6 +96,8 @@
     confirmation of ownership.  ``keep_final`` is how long the state of a
     finished job can be queried.  A new fleet manager waits ``manager_lease``
     before its first order.  ``provider`` is the address of the VM provider.
+    A configuration that was not confirmed for ``configuration_age`` decides
+    no request.
     """
 
     plugin: Name
@@ -103,6 +105,7 @@
     lease_horizon: Millis
     keep_final: Millis
     manager_lease: Millis
+    configuration_age: Millis
     provider: str
 
 
@@ -179,6 +182,7 @@
         'lease_horizon': 9_000,
         'keep_final': 120_000,
         'manager_lease': 3_000,
+        'configuration_age': 3_000,
         'provider': '',
     },
 }
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -123,6 +123,10 @@
         """The maintenance requests, by number."""
         return self.platform.maintenances
 
+    async def wait_until_current(self, age: int, wait: int) -> bool:
+        """Return at once, as the configuration is always the newest."""
+        return True
+
     async def wait_for_change(self) -> None:
         """Wait until the data of the platform change."""
         await self.platform.changed.wait()
