Log since when a lost worker was silent and whether it refused connections

Lost runs looked alike whether their worker had crashed, was cut off or was replaced as planned, so nobody could see which task had just started there. No behaviour changes.

--- a/cyclamenshift/http1.py
+++ b/cyclamenshift/http1.py
@@ -86,9 +86,15 @@
 
 
 class NotSent(NamedTuple):
-    """The request was not sent; the server has not processed it."""
+    """
+    The request was not sent; the server has not processed it.
+
+    ``refused`` is whether the host refused the connection, which has no
+    process at the address.
+    """
 
     reason: str
+    refused: bool = False
 
 
 class NoResponse(NamedTuple):
@@ -204,7 +210,10 @@
                 await sock.connect(address)
         except (OSError, trio.TooSlowError) as error:
             sock.close()
-            return NotSent(f'not connected: {type(error).__name__}')
+            return NotSent(
+                f'not connected: {type(error).__name__}',
+                refused=isinstance(error, ConnectionRefusedError),
+            )
         except BaseException:
             sock.close()
             raise
--- a/cyclamenshift/platform/workers.py
+++ b/cyclamenshift/platform/workers.py
@@ -173,7 +173,9 @@
     result: Response | NotSent | NoResponse,
 ) -> Refused | Unanswered:
     if isinstance(result, NotSent):
-        return Unanswered(sent=False, reason=result.reason)
+        return Unanswered(
+            sent=False, reason=result.reason, refused=result.refused
+        )
     if isinstance(result, NoResponse):
         return Unanswered(sent=True, reason=result.reason)
     details = decode_json(result.body, dict[str, Any])
--- a/cyclamenshift/scheduling/lease_renewer.py
+++ b/cyclamenshift/scheduling/lease_renewer.py
@@ -85,8 +85,7 @@
             self.state.close_session(session, 'worker restarted')
             return
         session.lease.observe(result.clock, self.clock.now())
-        session.misses = 0
-        session.has_reported = True
+        session.record_report()
         self.state.apply_report(session, result)
 
     @_handle.register
@@ -96,21 +95,23 @@
         elif result.reason is RefusalReason.fenced:
             await self.state.check_ownership()
         else:
-            await self._record_miss(f'refused: {result.reason}')
+            await self._record_miss(
+                Unanswered(True, f'refused: {result.reason}')
+            )
 
     @_handle.register
     async def _handle_unanswered(self, result: Unanswered) -> None:
-        await self._record_miss(result.reason)
+        await self._record_miss(result)
 
-    async def _record_miss(self, reason: str) -> None:
+    async def _record_miss(self, result: Unanswered) -> None:
         session = self.session
-        session.misses += 1
+        session.record_miss(self.clock.now(), refused=result.refused)
         self.state.tracker.mark_unresponsive(session.worker.instance)
         if session.misses == 1:
             self.state.log.note(
                 'No report from a worker.',
                 worker=session.worker.worker_id,
-                reason=reason,
+                reason=result.reason,
                 runs=len(
                     self.state.tracker.attempts_at(session.worker.instance)
                 ),
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -226,10 +226,19 @@
                 worker=session.worker.worker_id,
                 reason=reason,
                 runs=[attempt.run for attempt in lost],
+                silent_ms=self._silence_of(session),
+                refused=bool(session.silence and session.silence.refused),
+                leaving=session.worker.leaving,
             )
             self.recorder.notify()
             self.wake()
 
+    def _silence_of(self, session: WorkerSession) -> int:
+        """Return for how long a worker has not reported, ms."""
+        if session.silence is None:
+            return 0
+        return self.clock.now() - session.silence.since
+
     def _log_end(self, session: WorkerSession, end: RunEnd) -> None:
         self.kernel.metrics.run_ends.inc(
             {'service': self.service, 'how': str(end.outcome)},
--- a/cyclamenshift/scheduling/worker_session.py
+++ b/cyclamenshift/scheduling/worker_session.py
@@ -5,6 +5,8 @@
 The state that a scheduler keeps for one instance of a worker.
 """
 
+from typing import NamedTuple
+
 import trio
 
 from ..decisions.leases import Lease
@@ -12,6 +14,18 @@
 from ..worker import Worker
 
 
+class Silence(NamedTuple):
+    """
+    The calls without a report since the last one.
+
+    The first was at ``since``, monotonic ms.  ``refused`` is whether the host
+    refused the connection for the last one.
+    """
+
+    since: int
+    refused: bool
+
+
 class WorkerSession:
     """
     One instance of a worker, its lease and its reachability.
@@ -19,8 +33,9 @@
     ``has_reported`` tells whether it has reported to this scheduler, which
     also fences off the orders of earlier schedulers.  ``registered`` tells
     whether the directory lists it.  ``misses`` counts the calls without a
-    report since the last one; ``unsettled`` the start orders whose answer is
-    missing; ``fastest`` is the shortest round-trip time, ms.
+    report since the last one, which ``silence`` describes; ``unsettled`` the
+    start orders whose answer is missing; ``fastest`` is the shortest
+    round-trip time, ms.
     """
 
     def __init__(self, worker: Worker, lease: Lease) -> None:
@@ -32,6 +47,7 @@
         self.closed = False
         self.end_log = RunEndLog()
         self.misses = 0
+        self.silence: Silence | None = None
         self.unsettled = 0
         self.fastest: int | None = None
         self.backoff_until = 0
@@ -51,6 +67,18 @@
         answers = self.responsive and not self.unsettled
         return stays and answers and free
 
+    def record_miss(self, now: int, *, refused: bool) -> None:
+        """Record a call without a report."""
+        since = self.silence.since if self.silence else now
+        self.silence = Silence(since, refused)
+        self.misses += 1
+
+    def record_report(self) -> None:
+        """Record that the worker has reported."""
+        self.silence = None
+        self.misses = 0
+        self.has_reported = True
+
     def observe_round_trip(self, elapsed: int) -> None:
         """Record the duration of a call that was answered at once, ms."""
         if self.fastest is None or elapsed < self.fastest:
--- a/cyclamenshift/worker.py
+++ b/cyclamenshift/worker.py
@@ -134,11 +134,13 @@
     The worker gave no usable response.
 
     If ``sent`` is true, the order may have been executed or may yet be
-    executed, even after orders that were given later.
+    executed, even after orders that were given later.  ``refused`` is whether
+    the host refused the connection.
     """
 
     sent: bool
     reason: str
+    refused: bool = False
 
 
 OrderResult: TypeAlias = Accepted | Refused | Unanswered
