Count each failed run once, in whatever order the ends come

Callers saw a task started again after as many failed runs as its queue allows. A failure counted only if the number of its run was above the last that failed, which was meant for gangs, whose members share a number. The copy of a speculative task has the higher number, so when it failed first, the run before it was not counted. The end of a run that had been given up was acknowledged without being counted either. Now each task keeps the numbers of its failed runs, also in its row; a row of an earlier build, which lacks them, counts no run that may be in it already.

The reports of workers are applied in a module of their own, which the tracker had grown too long for.

--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -80,7 +80,7 @@
 
     ``run_time`` is the duration of the run that completed it, ms, 0 if
     unknown.  ``failed_at`` are the workers where a run of it failed;
-    ``failed_run`` is the last run that was counted in ``failures``.
+    ``failed_runs`` has the numbers of the runs counted in ``failures``.
     """
 
     def __init__(self, job: 'JobProgress', task_id: TaskId, step: Step) -> None:
@@ -90,7 +90,7 @@
         self.step = step
         self.last_run = 0
         self.failures = 0
-        self.failed_run = 0
+        self.failed_runs: set[int] = set()
         self.checkpoint = ''
         self.done = False
         self.run_time = 0
@@ -220,6 +220,10 @@
         step_key = (task.task_id.occurrence, task.task_id.step)
         return self.steps.get(step_key, [task])
 
+    def counting_task(self, task: Task) -> Task:
+        """Return the task that counts the failed runs of *task*."""
+        return self.siblings(task)[0] if task.step.gang else task
+
     def tasks(self) -> Iterator[Task]:
         """Yield the tasks of the open steps."""
         for tasks in self.steps.values():
@@ -258,18 +262,23 @@
         self._finish_occurrence(occurrence, wall_time)
         return RunEndEffect(opened, to_stop)
 
-    def record_failure(self, attempt: Attempt, wall_time: int) -> RunEndEffect:
+    def record_failure(
+        self,
+        task: Task,
+        number: int,
+        instance: WorkerInstance,
+        wall_time: int,
+    ) -> RunEndEffect:
         """
         Count a failed run; the job fails when its task has no attempts left.
 
-        The members of a gang share one count, and each run of the gang
-        counts once.  A long-running task never fails its job.
+        Each run counts once, in whatever order the runs end.  The members of
+        a gang share one count.  A long-running task never fails its job.
         """
-        task, number, instance = attempt.task, attempt.number, attempt.instance
         task.failed_at.add(instance)
-        counted = self.siblings(task)[0] if task.step.gang else task
-        if counted.failed_run < number:
-            counted.failed_run = number
+        counted = self.counting_task(task)
+        if number not in counted.failed_runs:
+            counted.failed_runs.add(number)
             counted.failures += 1
         exhausted = counted.failures >= self.queue.attempts
         if exhausted and not task.step.long_running:
--- a/cyclamenshift/decisions/records.py
+++ b/cyclamenshift/decisions/records.py
@@ -64,17 +64,24 @@
 
 def _attempted_tasks(progress: JobProgress) -> list[AttemptedTask]:
     return [
-        AttemptedTask(
-            task=task.position(),
-            last_run=task.last_run,
-            failures=task.failures,
-            checkpoint=task.checkpoint,
-        )
+        _attempted_task(task)
         for task in progress.tasks()
         if task.last_run and not task.done and not _shown_by_runs(task)
     ]
 
 
+def _attempted_task(task: Task) -> AttemptedTask:
+    attempted = AttemptedTask(
+        task=task.position(),
+        last_run=task.last_run,
+        failures=task.failures,
+        checkpoint=task.checkpoint,
+    )
+    if task.failed_runs:
+        attempted['failed_runs'] = sorted(task.failed_runs)
+    return attempted
+
+
 def _shown_by_runs(task: Task) -> bool:
     """Return whether the active runs of a task tell all that was attempted."""
     is_new = not task.failures and not task.checkpoint
@@ -95,6 +102,10 @@
     task.last_run = attempted['last_run']
     task.failures = attempted['failures']
     task.checkpoint = attempted['checkpoint']
+    task.failed_runs = set(attempted.get('failed_runs', ()))
+    if task.failures and not task.failed_runs:
+        # An earlier build wrote the row: any run that is over may be counted.
+        task.failed_runs = set(range(1, task.last_run + 1))
 
 
 def _restore_active(
@@ -107,6 +118,7 @@
     attempt = Attempt(task, active_run['run'], active_run['worker'], now)
     attempt.phase = Phase.inherited
     task.attempts[attempt.number] = attempt
+    task.failed_runs.discard(attempt.number)
     task.last_run = max(task.last_run, attempt.number)
 
 
--- /dev/null
+++ b/cyclamenshift/decisions/reports.py
@@ -0,0 +1,160 @@
+"""
+cyclamenshift.decisions.reports
+===============================
+
+Applies the report of a worker to the jobs of its service.
+"""
+
+from typing import Final, NamedTuple
+
+from ..job import RunEnd, RunId, RunOutcome, RunStatus
+from ..worker import WorkerReport
+from .progress import (
+    Attempt,
+    JobProgress,
+    Phase,
+    Task,
+    WorkerInstance,
+    checkpoint_of,
+)
+from .tracker import JobTracker
+
+#: The run outcomes that must be recorded before the worker's report is
+#: acknowledged.
+RECORDED_OUTCOMES: Final = frozenset((RunOutcome.done, RunOutcome.failed))
+
+
+class ReportResult(NamedTuple):
+    """
+    The result of applying a worker's report.
+
+    ``jobs`` must be recorded before the ended runs are acknowledged;
+    ``orphans`` are runs that the worker should not be running.
+    """
+
+    jobs: tuple[JobProgress, ...]
+    orphans: tuple[RunId, ...]
+
+
+class ReportApplication:
+    """Applies one report of a worker instance, received at *wall_time*."""
+
+    def __init__(
+        self,
+        tracker: JobTracker,
+        instance: WorkerInstance,
+        report: WorkerReport,
+        wall_time: int,
+    ) -> None:
+        """Apply *report* to the jobs of *tracker* when ``run`` is called."""
+        self.tracker = tracker
+        self.instance = instance
+        self.report = report
+        self.wall_time = wall_time
+
+    def run(self) -> ReportResult:
+        """Apply the ended and the running runs."""
+        changed: dict[str, JobProgress] = {}
+        for end in self.report.ended:
+            for progress in self._apply_end(end):
+                changed[progress.job.job_id] = progress
+        orphans = tuple(
+            status.run
+            for status in self.report.running
+            if not self._apply_status(status)
+        )
+        if self.report.complete:
+            self._drop_missing()
+        return ReportResult(tuple(changed.values()), orphans)
+
+    def _find_attempt(self, run: RunId) -> Attempt | None:
+        attempts = self.tracker.attempts_by_worker.get(self.instance, {})
+        return attempts.get(run)
+
+    def _apply_end(self, end: RunEnd) -> list[JobProgress]:
+        attempt = self._find_attempt(end.run)
+        if attempt is None:
+            return self._apply_untracked_end(end)
+        task = attempt.task
+        task.checkpoint = checkpoint_of(end, task)
+        over = task.done or task.job.state.final
+        counted = end.outcome in RECORDED_OUTCOMES and not over
+        if counted and end.outcome is RunOutcome.failed:
+            self._record_failure(task, end)
+        elif counted and not task.step.long_running:
+            task.run_time = attempt.run_time(self.report.clock)
+            self.tracker.apply_effect(
+                task.job, task.job.complete_task(task, self.wall_time)
+            )
+        self.tracker.remove(attempt)
+        return [task.job] if counted else []
+
+    def _apply_untracked_end(self, end: RunEnd) -> list[JobProgress]:
+        """
+        Count a failed run that has no attempt any more.
+
+        Its worker was given up, or an earlier scheduler started it.
+        """
+        progress = self.tracker.jobs.get(end.run.task.job_id)
+        task = progress.task(end.run.task) if progress else None
+        if task is None or not _counts_as_failure(end, task):
+            return self._unrecorded_jobs(end)
+        self._record_failure(task, end)
+        return [task.job]
+
+    def _record_failure(self, task: Task, end: RunEnd) -> None:
+        effect = task.job.record_failure(
+            task, end.run.number, self.instance, self.wall_time
+        )
+        self.tracker.apply_effect(task.job, effect)
+
+    def _unrecorded_jobs(self, end: RunEnd) -> list[JobProgress]:
+        """Return the job if an end that was applied before is unrecorded."""
+        progress = self.tracker.jobs.get(end.run.task.job_id)
+        if progress is None or progress.recorded >= progress.generation:
+            return []
+        return [progress]
+
+    def _apply_status(self, status: RunStatus) -> bool:
+        attempt = self._find_attempt(status.run) or self._adopt(status)
+        if attempt is None:
+            return False
+        self.tracker.mark_running(attempt, self.report.clock)
+        attempt.in_touch = True
+        attempt.percent = status.percent
+        attempt.usage = status.usage
+        attempt.task.checkpoint = status.checkpoint or attempt.task.checkpoint
+        return True
+
+    def _adopt(self, status: RunStatus) -> Attempt | None:
+        task_id, number = status.run
+        progress = self.tracker.jobs.get(task_id.job_id)
+        task = progress.task(task_id) if progress else None
+        if task is None or not task.waiting or task.job.state.final:
+            return None
+        attempt = Attempt(task, number, self.instance, 0)
+        attempt.phase = Phase.running
+        task.attempts[number] = attempt
+        task.last_run = max(task.last_run, number)
+        self.tracker.waiting.pop(task_id, None)
+        self.tracker.track(attempt)
+        self.tracker.mark_dirty(task.job)
+        return attempt
+
+    def _drop_missing(self) -> None:
+        listed = {status.run for status in self.report.running}
+        for attempt in self.tracker.attempts_at(self.instance):
+            if attempt.run in listed:
+                continue
+            seen_there = attempt.phase in {Phase.running, Phase.stopping}
+            newer = self.report.clock > attempt.last_seen_clock
+            if attempt.phase is Phase.inherited or (seen_there and newer):
+                self.tracker.remove(attempt)
+
+
+def _counts_as_failure(end: RunEnd, task: Task) -> bool:
+    """Return whether the end of an untracked run was not counted before."""
+    counted = task.job.counting_task(task).failed_runs
+    is_new = end.run.number not in counted
+    is_over = task.done or task.job.state.final
+    return end.outcome is RunOutcome.failed and is_new and not is_over
--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Iterable
-from typing import Final, NamedTuple
 
 from ..directory import Queue
 from ..job import (
@@ -14,15 +13,11 @@
     Job,
     JobState,
     Resources,
-    RunEnd,
     RunId,
-    RunOutcome,
-    RunStatus,
     Step,
     TaskId,
 )
 from ..jobrows import ProgressRow
-from ..worker import WorkerReport
 from .progress import (
     Attempt,
     JobProgress,
@@ -30,26 +25,9 @@
     RunEndEffect,
     Task,
     WorkerInstance,
-    checkpoint_of,
 )
 from .records import restore
 
-#: The run outcomes that must be recorded before the worker's report is
-#: acknowledged.
-RECORDED_OUTCOMES: Final = frozenset((RunOutcome.done, RunOutcome.failed))
-
-
-class ReportResult(NamedTuple):
-    """
-    The result of applying a worker's report.
-
-    ``jobs`` must be recorded before the ended runs are acknowledged;
-    ``orphans`` are runs that the worker should not be running.
-    """
-
-    jobs: tuple[JobProgress, ...]
-    orphans: tuple[RunId, ...]
-
 
 class JobTracker:
     """
@@ -94,7 +72,7 @@
         if progress.next_due() is not None:
             self.scheduled[progress.job.job_id] = progress
         for attempt in progress.attempts():
-            self._track(attempt)
+            self.track(attempt)
         self._enqueue(progress.tasks())
 
     def open_due(self, wall_time: int) -> None:
@@ -127,7 +105,7 @@
         self.waiting.pop(task.task_id, None)
         if task.job.state is JobState.queued:
             task.job.state = JobState.running
-        self._track(attempt)
+        self.track(attempt)
         self.mark_dirty(task.job)
         return attempt
 
@@ -163,31 +141,6 @@
         if attempt.task.step.gang and not attempt.task.done:
             self._stop_gang(attempt)
 
-    def apply_report(
-        self,
-        instance: WorkerInstance,
-        report: WorkerReport,
-        wall_time: int,
-    ) -> ReportResult:
-        """Apply a worker's report of its running and ended runs."""
-        changed: dict[str, JobProgress] = {}
-        for end in report.ended:
-            for progress in self._apply_end(
-                instance,
-                end,
-                report.clock,
-                wall_time,
-            ):
-                changed[progress.job.job_id] = progress
-        orphans = tuple(
-            status.run
-            for status in report.running
-            if not self._apply_status(instance, status, report.clock)
-        )
-        if report.complete:
-            self._drop_missing(instance, report)
-        return ReportResult(tuple(changed.values()), orphans)
-
     def mark_unresponsive(self, instance: WorkerInstance) -> None:
         """Mark the attempts at a worker that does not answer."""
         for attempt in self.attempts_at(instance):
@@ -205,7 +158,7 @@
         progress = self.jobs.get(job_id)
         if progress is None or progress.state.final:
             return None
-        self._apply_effect(
+        self.apply_effect(
             progress, progress.finish(JobState.cancelled, wall_time)
         )
         return progress
@@ -219,21 +172,32 @@
         progress.mark_dirty()
         self.dirty[progress.job.job_id] = progress
 
+    def apply_effect(self, progress: JobProgress, effect: RunEndEffect) -> None:
+        """Apply the effect of the end of a run, or of its job."""
+        self._enqueue(effect.opened)
+        for attempt in effect.to_stop:
+            self.to_stop[attempt.run] = attempt
+        if progress.state.final:
+            for task in progress.tasks():
+                self.waiting.pop(task.task_id, None)
+        self.mark_dirty(progress)
+
     def attempts_at(self, instance: WorkerInstance) -> list[Attempt]:
         """Return the attempts that may be running at a worker."""
         return list(self.attempts_by_worker.get(instance, {}).values())
 
-    def _enqueue(self, tasks: Iterable[Task]) -> None:
-        for task in tasks:
-            if task.waiting and not task.job.state.final:
-                self.waiting[task.task_id] = task
-
-    def _track(self, attempt: Attempt) -> None:
+    def track(self, attempt: Attempt) -> None:
+        """Reserve the resources of an attempt at its worker."""
         instance = attempt.instance
         self.attempts_by_worker.setdefault(instance, {})[attempt.run] = attempt
         used = self.used.get(instance, NO_RESOURCES)
         self.used[instance] = used.plus(reserved_resources(attempt.task.step))
 
+    def _enqueue(self, tasks: Iterable[Task]) -> None:
+        for task in tasks:
+            if task.waiting and not task.job.state.final:
+                self.waiting[task.task_id] = task
+
     def _stop_gang(self, gone: Attempt) -> None:
         """Stop the other members of a gang, so that all restart together."""
         for sibling in gone.task.job.siblings(gone.task):
@@ -241,101 +205,6 @@
             if attempt:
                 self.to_stop[attempt.run] = attempt
 
-    def _apply_effect(
-        self, progress: JobProgress, effect: RunEndEffect
-    ) -> None:
-        self._enqueue(effect.opened)
-        for attempt in effect.to_stop:
-            self.to_stop[attempt.run] = attempt
-        if progress.state.final:
-            for task in progress.tasks():
-                self.waiting.pop(task.task_id, None)
-        self.mark_dirty(progress)
-
-    def _apply_end(
-        self,
-        instance: WorkerInstance,
-        end: RunEnd,
-        clock: int,
-        wall_time: int,
-    ) -> list[JobProgress]:
-        attempt = self.attempts_by_worker.get(instance, {}).get(end.run)
-        if attempt is None:
-            return self._unrecorded_jobs(end)
-        task = attempt.task
-        task.checkpoint = checkpoint_of(end, task)
-        over = task.done or task.job.state.final
-        counted = end.outcome in RECORDED_OUTCOMES and not over
-        if counted and end.outcome is RunOutcome.failed:
-            self._apply_effect(
-                task.job, task.job.record_failure(attempt, wall_time)
-            )
-        elif counted and not task.step.long_running:
-            task.run_time = attempt.run_time(clock)
-            self._apply_effect(
-                task.job, task.job.complete_task(task, wall_time)
-            )
-        self.remove(attempt)
-        return [task.job] if counted else []
-
-    def _unrecorded_jobs(self, end: RunEnd) -> list[JobProgress]:
-        """Return the job if an end that was applied before is unrecorded."""
-        progress = self.jobs.get(end.run.task.job_id)
-        if progress is None or progress.recorded >= progress.generation:
-            return []
-        return [progress]
-
-    def _apply_status(
-        self,
-        instance: WorkerInstance,
-        status: RunStatus,
-        clock: int,
-    ) -> bool:
-        attempt = self.attempts_by_worker.get(instance, {}).get(status.run)
-        if attempt is None:
-            attempt = self._adopt(instance, status)
-        if attempt is None:
-            return False
-        self.mark_running(attempt, clock)
-        attempt.in_touch = True
-        attempt.percent = status.percent
-        attempt.usage = status.usage
-        attempt.task.checkpoint = status.checkpoint or attempt.task.checkpoint
-        return True
-
-    def _adopt(
-        self,
-        instance: WorkerInstance,
-        status: RunStatus,
-    ) -> Attempt | None:
-        task_id, number = status.run
-        progress = self.jobs.get(task_id.job_id)
-        task = progress.task(task_id) if progress else None
-        if task is None or not task.waiting or task.job.state.final:
-            return None
-        attempt = Attempt(task, number, instance, 0)
-        attempt.phase = Phase.running
-        task.attempts[number] = attempt
-        task.last_run = max(task.last_run, number)
-        self.waiting.pop(task_id, None)
-        self._track(attempt)
-        self.mark_dirty(task.job)
-        return attempt
-
-    def _drop_missing(
-        self,
-        instance: WorkerInstance,
-        report: WorkerReport,
-    ) -> None:
-        listed = {status.run for status in report.running}
-        for attempt in self.attempts_at(instance):
-            if attempt.run in listed:
-                continue
-            seen_there = attempt.phase in {Phase.running, Phase.stopping}
-            newer = report.clock > attempt.last_seen_clock
-            if attempt.phase is Phase.inherited or (seen_there and newer):
-                self.remove(attempt)
-
 
 def reserved_resources(step: Step) -> Resources:
     """
--- a/cyclamenshift/jobrows.py
+++ b/cyclamenshift/jobrows.py
@@ -8,7 +8,7 @@
 that a transaction on rows of a domain can check the row of its owner.
 """
 
-from typing import Final, TypedDict
+from typing import Final, NotRequired, TypedDict
 
 from .job import Job, JobState
 from .store import Key
@@ -64,13 +64,15 @@
     A task that was started at least once and is not done.
 
     It is left out if its last run is active and it has neither failed nor
-    saved a checkpoint; the active run then holds the same.
+    saved a checkpoint; the active run then holds the same.  Rows of earlier
+    builds lack ``failed_runs``, the numbers of the runs in ``failures``.
     """
 
     task: tuple[int, int, int]
     last_run: int
     failures: int
     checkpoint: str
+    failed_runs: NotRequired[list[int]]
 
 
 class ProgressRow(TypedDict):
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -14,7 +14,8 @@
 from ..decisions.arrivals import Arrivals
 from ..decisions.leases import Lease, max_elapsed
 from ..decisions.progress import Attempt, WorkerInstance
-from ..decisions.tracker import JobTracker, ReportResult
+from ..decisions.reports import ReportApplication, ReportResult
+from ..decisions.tracker import JobTracker
 from ..duty import OwnershipTerm
 from ..job import RunEnd, RunId
 from ..jobrows import OwnerRow
@@ -122,11 +123,12 @@
         """Apply a report to the tracked jobs, and each end in it once."""
         instance = session.worker.instance
         new_ends = session.end_log.select_new(report.ended)
-        report_result = self.tracker.apply_report(
+        report_result = ReportApplication(
+            self.tracker,
             instance,
             report._replace(ended=new_ends),
             self.clock.wall_time(),
-        )
+        ).run()
         session.end_log.add(new_ends, report_result.jobs)
         for end in new_ends:
             self._log_end(session, end)
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -9,7 +9,6 @@
 """
 
 from collections.abc import Mapping
-from functools import partial
 from typing import Any, NamedTuple
 
 import trio
@@ -219,8 +218,8 @@
         """Start without entry VMs and without workers."""
         super().__init__(nursery)
         self.workers = SimWorkers()
-        self.workers.on_crash = partial(
-            nursery.start_soon, self.crash_and_restart
+        self.workers.on_crash = lambda crashed: nursery.start_soon(
+            self.crash_and_restart, crashed
         )
         self.platform = SharedPlatform()
         self.workers_started = 0
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -10,6 +10,7 @@
 from trio.testing import MockClock
 
 from cyclamenshift.decisions.progress import Attempt, JobProgress
+from cyclamenshift.decisions.reports import ReportApplication
 from cyclamenshift.decisions.tracker import JobTracker
 from cyclamenshift.job import (
     Job,
@@ -100,7 +101,9 @@
     steps = (step(tasks=1, speculative=True),)
     progress = JobProgress(job(steps=steps), queue(attempts=2), version=0)
     for attempt in start_copies(progress)[::order]:
-        progress.record_failure(attempt, wall_time=0)
+        progress.record_failure(
+            attempt.task, attempt.number, attempt.instance, wall_time=0
+        )
     assert progress.state is JobState.failed
 
 
@@ -116,5 +119,5 @@
     tracker.remove_all_at(instance)
     end = RunEnd(1, attempt.run, RunOutcome.failed, '')
     report = WorkerReport(clock=1, started_at=1, running=(), ended=(end,))
-    changed = tracker.apply_report(instance, report, wall_time=0).jobs
+    changed = ReportApplication(tracker, instance, report, 0).run().jobs
     assert (progress.state, changed) == (JobState.failed, (progress,))
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -61,3 +61,34 @@
             attempt.phase is Phase.inherited and attempt.instance == INSTANCE
             for attempt in after.attempts.values()
         )
+
+
+def test_successor_knows_which_runs_failed() -> None:
+    """It counts the end of another run, but not the same end once more."""
+    tracker, progress = started_job()
+    task = next(progress.tasks())
+    tracker.plan(task, INSTANCE, 2, 0)
+    progress.record_failure(task, 2, INSTANCE, WALL_START)
+    tracker.remove(task.attempts[2])
+    successor = restored(progress)
+    task_after = next(successor.tasks())
+    assert task_after.failed_runs == {2}
+    successor.record_failure(task_after, 2, INSTANCE, WALL_START)
+    assert task_after.failures == 1
+    successor.record_failure(task_after, 1, INSTANCE, WALL_START)
+    assert task_after.failures == 2
+
+
+def test_row_of_an_earlier_build_counts_no_end_twice() -> None:
+    """It does not tell which runs failed, so those that are over may have."""
+    tracker, progress = started_job()
+    task = next(progress.tasks())
+    tracker.remove(task.attempts[1])
+    tracker.plan(task, INSTANCE, 2, 0)
+    task.failures = 1
+    successor = restored(progress)
+    task_after = next(successor.tasks())
+    successor.record_failure(task_after, 1, INSTANCE, WALL_START)
+    assert task_after.failures == 1
+    successor.record_failure(task_after, 2, INSTANCE, WALL_START)
+    assert task_after.failures == 2
