Give up a task that crashes one worker after the other

A crash is another instance of a worker that was not to leave, or expired leases while its host refuses connections. It counts for all that ran there, and for a task in a row only while its runs crash at the same age; one that got older than 2 s is cleared. The likely cause, and a task that was there at two crashes, runs alone at first, on a third of the workers at most, so that the third crash tells and hits nothing else: then the job fails. The count is in the progress row, and builds that do not know it read the row as before.

Weighed: all that ran there alone after the first crash, which blocks a pool after each crash that no task has caused; two crashes in place of three, which gives up good work where workers fail in a row.

--- a/cyclamenshift/decisions/copies.py
+++ b/cyclamenshift/decisions/copies.py
@@ -72,8 +72,10 @@
 def _may_copy(task: Task) -> bool:
     step = task.step
     may_repeat = step.speculative and not step.gang and not step.long_running
-    is_single = len(task.attempts) == 1 and not task.done
-    return may_repeat and is_single and not task.job.state.final
+    # A copy of a task that crashes its workers would crash another one.
+    is_single = len(task.attempts) == 1 and not task.crashes.in_a_row
+    is_over = task.done or task.job.state.final
+    return may_repeat and is_single and not is_over
 
 
 def _is_silent(attempt: Attempt, silent: Collection[WorkerInstance]) -> bool:
--- /dev/null
+++ b/cyclamenshift/decisions/crashes.py
@@ -0,0 +1,71 @@
+"""
+cyclamenshift.decisions.crashes
+===============================
+
+Tells tasks that crash their workers from those that merely ran beside them.
+
+All that ran on a worker when it crashed is under suspicion.  A task that is
+the likely cause, or was there at several crashes, runs alone for a while, so
+that the next crash tells and hits nothing else.
+"""
+
+from typing import Final, NamedTuple
+
+#: The number of crashes in a row after which a task is given up.  Two may be
+#: a coincidence where workers fail one after the other.
+MAX_CRASHES: Final = 3
+#: The age of a run up to which it is the likely cause of a crash, ms: much
+#: longer than the answer to a start takes, and shorter than most tasks.
+LIKELY_CAUSE_AGE_MS: Final = 200
+#: The age of a run beyond which it is not the cause, ms: a task that crashes
+#: each worker that starts it does so before.
+MAX_CAUSE_AGE_MS: Final = 2_000
+#: How much later in a run the same cause may take effect, ms.
+AGE_TOLERANCE_MS: Final = 300
+#: The divisor of the number of workers: so many of them at a time may have a
+#: run that may crash them.
+POOL_DIVISOR: Final = 3
+
+
+class Crashes(NamedTuple):
+    """
+    How many crashes ``in_a_row`` a task may have caused.
+
+    ``age`` is the greatest age of its run at such a moment, ms.
+    """
+
+    in_a_row: int = 0
+    age: int = 0
+
+    @property
+    def suspicious(self) -> bool:
+        """Whether the next run of the task has to be alone at first."""
+        likely = self.age <= LIKELY_CAUSE_AGE_MS
+        return self.in_a_row > 1 or (likely and self.in_a_row == 1)
+
+    @property
+    def proved(self) -> bool:
+        """Whether the task is to be given up."""
+        return self.in_a_row >= MAX_CRASHES
+
+    def after(self, age: int) -> 'Crashes':
+        """
+        Return the crashes after another one, at *age* ms of the run.
+
+        A run that got older than those before had not caused the earlier
+        ones, as it had outlived their moment.
+        """
+        if age > MAX_CAUSE_AGE_MS:
+            return Crashes()
+        if self.in_a_row and age > self.age + AGE_TOLERANCE_MS:
+            return Crashes(1, age)
+        return Crashes(self.in_a_row + 1, max(self.age, age))
+
+    def on_probation(self, age: int) -> bool:
+        """Return whether a run of *age* ms may still crash its worker."""
+        return self.suspicious and age <= self.age + AGE_TOLERANCE_MS
+
+
+def probation_limit(workers: int, on_probation: int) -> int:
+    """Return how many more of *workers* may get a suspicious run."""
+    return max(0, max(1, workers // POOL_DIVISOR) - on_probation)
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -11,6 +11,7 @@
 
 from ..directory import Queue
 from ..job import Job, JobState, RunEnd, RunId, RunOutcome, Step, TaskId
+from .crashes import Crashes
 from .schedules import schedule_of
 
 #: The id and the start time of a worker process.
@@ -46,6 +47,7 @@
         """
         Create an attempt that is planned at *now*, monotonic ms.
 
+        ``ordered_at`` is when its start was ordered, 0 if that is unknown.
         ``last_seen_clock`` is the worker's clock when the run was last
         known to be there; ``start_clock`` its clock when the order to start
         was accepted, 0 if unknown.  ``evicted`` is set once the run is to be
@@ -57,6 +59,7 @@
         self.instance = instance
         self.phase = Phase.planned
         self.planned_at = now
+        self.ordered_at = 0
         self.last_seen_clock = 0
         self.start_clock = 0
         self.evicted = False
@@ -69,6 +72,10 @@
         """The id of this run."""
         return RunId(self.task.task_id, self.number)
 
+    def age(self, now: int) -> int:
+        """Return the time since the start was ordered, ms, 0 if unknown."""
+        return max(0, now - self.ordered_at) if self.ordered_at else 0
+
     def run_time(self, clock: int) -> int:
         """Return the run time by the worker's *clock*, ms, 0 if unknown."""
         return clock - self.start_clock if self.start_clock else 0
@@ -80,7 +87,8 @@
 
     ``run_time`` is the duration of the run that completed it, ms, 0 if
     unknown.  ``failed_at`` are the workers where a run of it failed;
-    ``failed_runs`` has the numbers of the runs counted in ``failures``.
+    ``failed_runs`` has the numbers of the runs counted in ``failures``, and
+    ``crashes`` tells of workers that crashed while it ran there.
     """
 
     def __init__(self, job: 'JobProgress', task_id: TaskId, step: Step) -> None:
@@ -91,6 +99,7 @@
         self.last_run = 0
         self.failures = 0
         self.failed_runs: set[int] = set()
+        self.crashes = Crashes()
         self.checkpoint = ''
         self.done = False
         self.run_time = 0
@@ -220,6 +229,20 @@
         step_key = (task.task_id.occurrence, task.task_id.step)
         return self.steps.get(step_key, [task])
 
+    def record_crash(
+        self, task: Task, age: int, wall_time: int
+    ) -> RunEndEffect:
+        """
+        Count the crash of a worker where a run of *task* got *age* ms old.
+
+        The job fails once the task is proved to crash its workers, also if
+        the task is long-running.
+        """
+        task.crashes = task.crashes.after(age)
+        if task.crashes.proved:
+            return self.finish(JobState.failed, wall_time)
+        return RunEndEffect()
+
     def counting_task(self, task: Task) -> Task:
         """Return the task that counts the failed runs of *task*."""
         return self.siblings(task)[0] if task.step.gang else task
--- a/cyclamenshift/decisions/records.py
+++ b/cyclamenshift/decisions/records.py
@@ -10,6 +10,7 @@
 
 from ..job import JobState
 from ..jobrows import ActiveRun, AttemptedTask, ProgressRow
+from .crashes import Crashes
 from .progress import Attempt, JobProgress, Phase, Task
 
 #: The base in which the bitmap of done tasks is written.
@@ -79,12 +80,14 @@
     )
     if task.failed_runs:
         attempted['failed_runs'] = sorted(task.failed_runs)
+    if task.crashes.in_a_row:
+        attempted['crashes'] = (task.crashes.in_a_row, task.crashes.age)
     return attempted
 
 
 def _shown_by_runs(task: Task) -> bool:
     """Return whether the active runs of a task tell all that was attempted."""
-    is_new = not task.failures and not task.checkpoint
+    is_new = not (task.failures or task.checkpoint or task.crashes.in_a_row)
     return is_new and task.last_run in task.attempts
 
 
@@ -102,6 +105,7 @@
     task.last_run = attempted['last_run']
     task.failures = attempted['failures']
     task.checkpoint = attempted['checkpoint']
+    task.crashes = Crashes(*attempted.get('crashes', ()))
     task.failed_runs = set(attempted.get('failed_runs', ()))
     if task.failures and not task.failed_runs:
         # An earlier build wrote the row: any run that is over may be counted.
--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -146,6 +146,30 @@
         for attempt in self.attempts_at(instance):
             attempt.in_touch = False
 
+    def record_crash(
+        self, lost: Iterable[Attempt], alive_at: int, wall_time: int
+    ) -> list[Task]:
+        """
+        Count the crash of a worker for the tasks that ran there.
+
+        It was last known to be alive at *alive_at*, monotonic ms.  Returns
+        the tasks that are given up, which fail their jobs.
+        """
+        ages: dict[Task, int] = {}
+        for attempt in lost:
+            if attempt.phase is not Phase.planned:
+                counted = attempt.task.job.counting_task(attempt.task)
+                ages[counted] = attempt.age(alive_at)
+        given_up: list[Task] = []
+        for task, age in ages.items():
+            if task.done or task.job.state.final:
+                continue
+            effect = task.job.record_crash(task, age, wall_time)
+            self.apply_effect(task.job, effect)
+            if task.job.state.final:
+                given_up.append(task)
+        return given_up
+
     def remove_all_at(self, instance: WorkerInstance) -> list[Attempt]:
         """Remove and return all attempts at a worker."""
         lost = list(self.attempts_by_worker.get(instance, {}).values())
--- a/cyclamenshift/jobrows.py
+++ b/cyclamenshift/jobrows.py
@@ -63,9 +63,11 @@
     """
     A task that was started at least once and is not done.
 
-    It is left out if its last run is active and it has neither failed nor
-    saved a checkpoint; the active run then holds the same.  Rows of earlier
-    builds lack ``failed_runs``, the numbers of the runs in ``failures``.
+    It is left out if its last run is active and it has neither failed, nor
+    saved a checkpoint, nor been at a crash; the active run then holds the
+    same.  Rows of earlier builds lack ``failed_runs``, the numbers of the runs
+    in ``failures``, and ``crashes``, the crashes in a row that it may have
+    caused and the greatest age of its run at such a moment, ms.
     """
 
     task: tuple[int, int, int]
@@ -73,6 +75,7 @@
     failures: int
     checkpoint: str
     failed_runs: NotRequired[list[int]]
+    crashes: NotRequired[tuple[int, int]]
 
 
 class ProgressRow(TypedDict):
--- a/cyclamenshift/scheduling/details.py
+++ b/cyclamenshift/scheduling/details.py
@@ -31,6 +31,7 @@
     state: str
     last_run: int
     failures: int
+    crashes: int
     runs: list[RunDetail]
 
 
@@ -79,6 +80,7 @@
         state=_task_state(task),
         last_run=task.last_run,
         failures=task.failures,
+        crashes=task.crashes.in_a_row,
         runs=[_run_detail(each, now) for each in task.attempts.values()],
     )
 
--- a/cyclamenshift/scheduling/orders.py
+++ b/cyclamenshift/scheduling/orders.py
@@ -74,6 +74,7 @@
         self.attempt.phase = Phase.ordered
         self.session.wake()
         sent_at = self.state.clock.now()
+        self.attempt.ordered_at = sent_at
         result = await self._order()
         window = self.state.order_window
         if not isinstance(result, Unanswered):
--- a/cyclamenshift/scheduling/placer.py
+++ b/cyclamenshift/scheduling/placer.py
@@ -17,6 +17,7 @@
 from ..job import NO_RESOURCES
 from .orders import RunStarter
 from .state import ServiceState
+from .suspects import Suspects
 
 #: How many of the jobs that wait for capacity are logged.
 LOGGED_JOBS: Final = 5
@@ -45,7 +46,9 @@
             self.state.order_window.wake_when_ready(self.state.wake)
             return
         candidates = self._candidates(now)
-        self._place_most_urgent(self.tracker.waiting.values(), candidates)
+        suspects = Suspects(self.state, now)
+        self._start(suspects.place(candidates))
+        self._place_most_urgent(suspects.others, candidates)
         if self.state.order_window.free(self.state.service):
             self._log_capacity_shortage(candidates)
         else:
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -169,7 +169,7 @@
         if current and current.started_at > session.worker.started_at:
             self.state.close_session(session, 'worker restarted')
         if not self.state.has_runs(session):
-            self.state.close_session(session, 'gone')
+            self.state.close_session(session, 'gone', restarted=False)
             self.state.sessions.pop(session.worker.instance)
 
     def _evict_leaving_workers(self, nursery: trio.Nursery) -> None:
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -5,7 +5,7 @@
 The state shared by the tasks of one service's scheduler.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 import trio
@@ -150,17 +150,35 @@
         self.orphans.clear()
         return orphans
 
-    def close_session(self, session: WorkerSession, reason: str) -> None:
-        """Close a session and mark its runs as lost."""
+    def close_session(
+        self, session: WorkerSession, reason: str, *, restarted: bool = True
+    ) -> None:
+        """
+        Close a session and mark its runs as lost.
+
+        If another instance of the worker has ``restarted``, this one has
+        crashed, unless it was to leave.
+        """
         if session.closed:
             return
         session.closed = True
         session.wake()
-        self._mark_runs_lost(session, reason)
+        lost = self._mark_runs_lost(session, reason)
+        if restarted:
+            self._record_crash(session, (*session.given_up, *lost))
 
     def mark_leases_expired(self, session: WorkerSession) -> None:
-        """Mark the runs of a worker as lost after its last lease expired."""
-        self._mark_runs_lost(session, 'leases expired')
+        """
+        Mark the runs of a worker as lost after its last lease expired.
+
+        Where the host refuses connections, the process has ended.  Otherwise
+        it may be cut off; whether it had crashed shows once it is replaced.
+        """
+        lost = self._mark_runs_lost(session, 'leases expired')
+        if session.silence and session.silence.refused:
+            self._record_crash(session, lost)
+        else:
+            session.given_up = (*session.given_up, *lost)
 
     def drop_unregistered(self, workers: Mapping[str, Worker]) -> None:
         """
@@ -178,6 +196,8 @@
             restarted = current is not None and current.started_at > started_at
             if leases_expired or restarted:
                 lost = self.tracker.remove_all_at(instance)
+                if restarted:
+                    self._count_crash(worker_id, lost, self.clock.now())
                 self.log.warning(
                     'Runs lost.',
                     worker=worker_id,
@@ -220,7 +240,35 @@
         if self.term.check_row(fields, row.version, 'check'):
             self.term.confirm(sent_at)
 
-    def _mark_runs_lost(self, session: WorkerSession, reason: str) -> None:
+    def _record_crash(
+        self, session: WorkerSession, lost: Iterable[Attempt]
+    ) -> None:
+        """Count the crash of a worker for the tasks that ran there."""
+        now = self.clock.now()
+        if not session.leaves_as_planned(now):
+            self._count_crash(
+                session.worker.worker_id, lost, session.alive_at(now)
+            )
+
+    def _count_crash(
+        self, worker_id: str, lost: Iterable[Attempt], alive_at: int
+    ) -> None:
+        wall_time = self.clock.wall_time()
+        for task in self.tracker.record_crash(lost, alive_at, wall_time):
+            self.log.warning(
+                'Job given up: a task crashes its workers.',
+                task=task.task_id,
+                crashes=task.crashes.in_a_row,
+                worker=worker_id,
+                age_ms=task.crashes.age,
+            )
+        self.recorder.notify()
+        self.wake()
+
+    def _mark_runs_lost(
+        self, session: WorkerSession, reason: str
+    ) -> list[Attempt]:
+        """Remove, log and return the runs at a worker."""
         lost = self.tracker.remove_all_at(session.worker.instance)
         if lost:
             self.log.warning(
@@ -234,12 +282,12 @@
             )
             self.recorder.notify()
             self.wake()
+        return lost
 
     def _silence_of(self, session: WorkerSession) -> int:
         """Return for how long a worker has not reported, ms."""
-        if session.silence is None:
-            return 0
-        return self.clock.now() - session.silence.since
+        now = self.clock.now()
+        return now - session.silent_since(now)
 
     def _log_end(self, session: WorkerSession, end: RunEnd) -> None:
         self.kernel.metrics.run_ends.inc(
--- /dev/null
+++ b/cyclamenshift/scheduling/suspects.py
@@ -0,0 +1,109 @@
+"""
+cyclamenshift.scheduling.suspects
+=================================
+
+Keeps the tasks that may crash their workers apart from the other ones.
+"""
+
+from ..decisions.crashes import probation_limit
+from ..decisions.placement import Candidate, Placement, place
+from ..decisions.progress import Attempt, Task, WorkerInstance
+from ..decisions.urgency import most_urgent_first
+from .state import ServiceState
+
+
+class Suspects:
+    """
+    The waiting tasks of one scheduling pass that have to run alone.
+
+    ``others`` are the tasks that may share a worker.
+    """
+
+    def __init__(self, state: ServiceState, now: int) -> None:
+        """Sort the tasks that wait at *now*, monotonic ms."""
+        self.state = state
+        self.now = now
+        self.tasks: list[Task] = []
+        self.others: list[Task] = []
+        for task in state.tracker.waiting.values():
+            alone = task.crashes.suspicious and not task.step.gang
+            (self.tasks if alone else self.others).append(task)
+
+    def place(
+        self, candidates: dict[WorkerInstance, Candidate]
+    ) -> list[Placement]:
+        """
+        Place each suspect on a worker without other short runs.
+
+        The workers with a suspect are taken out of *candidates*, and so is
+        one that has to be emptied for the next suspect.
+        """
+        on_probation = self._workers_on_probation()
+        limit = probation_limit(
+            len(candidates.keys() | on_probation), len(on_probation)
+        )
+        for instance in on_probation:
+            candidates.pop(instance, None)
+        window = self.state.order_window
+        limit = min(limit, window.free(self.state.service))
+        urgent = most_urgent_first(self.tasks, self.state.clock.wall_time())
+        fewest_crashes_first = sorted(urgent, key=_count_crashes)
+        placements: list[Placement] = []
+        for task in fewest_crashes_first[:limit]:
+            placements.extend(self._place_alone(task, candidates))
+        return placements
+
+    def _place_alone(
+        self, task: Task, candidates: dict[WorkerInstance, Candidate]
+    ) -> list[Placement]:
+        """Place *task* on an empty worker, or begin to empty one for it."""
+        fitting = [
+            candidate.instance
+            for candidate in candidates.values()
+            if place((task,), {candidate.instance: _emptied(candidate)}, 1)
+        ]
+        if not fitting:
+            return []
+        chosen = min(fitting, key=self._occupancy)
+        candidate = candidates.pop(chosen)
+        short_runs, _lasting_runs, _instance = self._occupancy(chosen)
+        if short_runs:
+            return []
+        return place((task,), {chosen: candidate}, 1)
+
+    def _occupancy(
+        self, instance: WorkerInstance
+    ) -> tuple[int, int, WorkerInstance]:
+        """Return how many short and how many lasting runs a worker has."""
+        attempts = self.state.tracker.attempts_at(instance)
+        lasting = sum(attempt.task.step.long_running for attempt in attempts)
+        return (len(attempts) - lasting, lasting, instance)
+
+    def _workers_on_probation(self) -> set[WorkerInstance]:
+        attempts = (
+            attempt
+            for attempts_by_run in (
+                self.state.tracker.attempts_by_worker.values()
+            )
+            for attempt in attempts_by_run.values()
+        )
+        return {
+            attempt.instance
+            for attempt in attempts
+            if attempt.task.crashes.on_probation(self._age(attempt))
+        }
+
+    def _age(self, attempt: Attempt) -> int:
+        """Return the age up to which a run did not crash its worker, ms."""
+        session = self.state.sessions.get(attempt.instance)
+        alive_at = session.alive_at(self.now) if session else self.now
+        return attempt.age(alive_at)
+
+
+def _emptied(candidate: Candidate) -> Candidate:
+    """Return *candidate* as it is once its runs have ended."""
+    return Candidate(candidate.worker, candidate.worker.resources)
+
+
+def _count_crashes(task: Task) -> int:
+    return task.crashes.in_a_row
--- a/cyclamenshift/scheduling/worker_session.py
+++ b/cyclamenshift/scheduling/worker_session.py
@@ -10,6 +10,7 @@
 import trio
 
 from ..decisions.leases import Lease
+from ..decisions.progress import Attempt
 from ..decisions.run_ends import RunEndLog
 from ..worker import Worker
 
@@ -35,7 +36,8 @@
     whether the directory lists it.  ``misses`` counts the calls without a
     report since the last one, which ``silence`` describes; ``unsettled`` the
     start orders whose answer is missing; ``fastest`` is the shortest
-    round-trip time, ms.
+    round-trip time, ms.  ``given_up`` are the runs that were lost when its
+    leases expired.
     """
 
     def __init__(self, worker: Worker, lease: Lease) -> None:
@@ -52,7 +54,7 @@
         self.fastest: int | None = None
         self.backoff_until = 0
         self.reserved_until = 0
-        self.scope = trio.CancelScope()
+        self.given_up: tuple[Attempt, ...] = ()
         self.wakeup = trio.Event()
 
     @property
@@ -60,6 +62,20 @@
         """Whether the worker answered the last renewal with a report."""
         return self.has_reported and not self.misses
 
+    def leaves_as_planned(self, now: int) -> bool:
+        """Return whether the worker is to end, or its VM is being emptied."""
+        return self.worker.leaving or now < self.reserved_until
+
+    def silent_since(self, now: int) -> int:
+        """Return since when the worker has not answered, *now* if it does."""
+        return self.silence.since if self.silence else now
+
+    def alive_at(self, now: int) -> int:
+        """Return when the worker was last known to be alive, by *now*."""
+        if self.silence is None:
+            return now
+        return self.lease.heard_at or self.silence.since
+
     def usable(self, now: int) -> bool:
         """Return whether new runs may be started at this worker."""
         stays = self.registered and not self.closed and not self.worker.leaving
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -512,6 +512,8 @@
             if self.clock.now() >= deadline:
                 break
             await self.clock.sleep(POLL_INTERVAL_MS)
+            if sim.crashed:
+                return Unanswered(sent=True, reason='connection lost')
             report = self.workers.renew(sim, order)
         unanswered = await self._reach(sim)
         if isinstance(report, WorkerReport) and not unanswered:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -9,6 +9,12 @@
 import trio
 from trio.testing import MockClock
 
+from cyclamenshift.decisions.crashes import (
+    AGE_TOLERANCE_MS,
+    LIKELY_CAUSE_AGE_MS,
+    Crashes,
+    probation_limit,
+)
 from cyclamenshift.decisions.progress import Attempt, JobProgress
 from cyclamenshift.decisions.reports import ReportApplication
 from cyclamenshift.decisions.tracker import JobTracker
@@ -121,3 +127,77 @@
     report = WorkerReport(clock=1, started_at=1, running=(), ended=(end,))
     changed = ReportApplication(tracker, instance, report, 0).run().jobs
     assert (progress.state, changed) == (JobState.failed, (progress,))
+
+
+@pytest.mark.parametrize(
+    ('ages', 'suspicious', 'proved'),
+    [
+        ((0,), True, False),
+        ((LIKELY_CAUSE_AGE_MS + 1,), False, False),
+        ((5_000, 0), True, False),
+        ((0, 5_000), False, False),
+        ((0, AGE_TOLERANCE_MS, 0), True, True),
+        ((5_000, 12_000, 3_000), False, False),
+        ((1_000, 1_500, 900), True, False),
+        ((1_000, 1_100, 900), True, True),
+    ],
+)
+def test_crashes_at_the_same_age_are_held_against_a_task(
+    ages: tuple[int, ...], *, suspicious: bool, proved: bool
+) -> None:
+    """A run that outlived the moment of a crash had not caused it."""
+    crashes = Crashes()
+    for age in ages:
+        crashes = crashes.after(age)
+    assert (crashes.suspicious, crashes.proved) == (suspicious, proved)
+
+
+def test_only_a_part_of_a_pool_runs_suspects_at_a_time() -> None:
+    """Each may crash its worker, and the pool serves others meanwhile."""
+    assert probation_limit(workers=1, on_probation=0) == 1
+    assert probation_limit(workers=9, on_probation=1) == 2
+    assert probation_limit(workers=9, on_probation=5) == 0
+
+
+async def test_lasting_task_survives_the_crashes_of_others(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """A task that runs for long is not given up, however often VMs crash."""
+    job_cluster.add_workers('desk', 2)
+    await job_cluster.start_all(2)
+    lasting = job(steps=(step(tasks=1, long_running=True),))
+    entry = job_cluster.entry_not_owning('desk')
+    await job_cluster.submit(entry, lasting)
+    for pause in (8, 4, 9, 3, 2, 2):
+        await trio.sleep(pause)
+        started = job_cluster.workers.started_runs[-1]
+        crashed = job_cluster.workers.current_instance(started.worker_id)
+        await job_cluster.crash_and_restart(crashed.worker)
+    await trio.sleep(SPAN_S)
+    assert await job_cluster.state_of(lasting) is JobState.running
+    assert not job_cluster.workers.find_violations()
+
+
+async def test_workers_that_leave_are_no_crashes(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """A task that is moved by one planned restart after the other goes on."""
+    job_cluster.add_workers('desk', 2)
+    await job_cluster.start_all(2)
+    submitted = job(steps=(step(tasks=1),))
+    task = TaskId(submitted.job_id, 0, 0, 0)
+    job_cluster.workers.run_ms[task] = 60_000
+    await job_cluster.submit(job_cluster.entry_not_owning('desk'), submitted)
+    for _restart in range(4):
+        await trio.sleep(1)
+        started = job_cluster.workers.started_runs[-1]
+        sim = job_cluster.workers.current_instance(started.worker_id)
+        leaving = sim.worker._replace(leaving=True)
+        job_cluster.platform.workers[started.worker_id] = leaving
+        job_cluster.platform.notify_change()
+        await trio.sleep(0.3)
+        await job_cluster.crash_and_restart(sim.worker)
+    await trio.sleep(1)
+    assert await job_cluster.state_of(submitted) is JobState.running
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -5,6 +5,7 @@
 The rows of jobs' progress, and what a successor restores from them.
 """
 
+from cyclamenshift.decisions.crashes import Crashes
 from cyclamenshift.decisions.progress import JobProgress, Phase
 from cyclamenshift.decisions.records import restore, row_of
 from cyclamenshift.decisions.tracker import JobTracker
@@ -47,6 +48,7 @@
     tasks = list(progress.tasks())
     tasks[1].failures = 1
     tasks[2].checkpoint = 'saved'
+    tasks[0].crashes = Crashes(1, 20)
     tracker.remove(tasks[3].attempts[1])
     tracker.remove(tasks[4].attempts[1])
     tracker.plan(tasks[4], INSTANCE, 2, 0)
@@ -56,6 +58,7 @@
         assert after.last_run == before.last_run
         assert after.failures == before.failures
         assert after.checkpoint == before.checkpoint
+        assert after.crashes == before.crashes
         assert after.attempts.keys() == before.attempts.keys()
         assert all(
             attempt.phase is Phase.inherited and attempt.instance == INSTANCE
