Refuse odd input of other writers at the boundary

An operator of a similar system saw its processes end again and again after another writer had left one odd entry among those of the workers. Here, too: a field nested 20,000 deep raised RecursionError in the task that follows the registrations; a port out of range, a host with a NUL and a label of 300 letters raised in connect; a start time of 26 digits raised when a row or frame with it was encoded; a report with an odd entry raised in the lease renewer. Each ended the process. One row without a key made its page unreadable.

Every decoder now returns the reason, addresses are IP addresses with a port, numbers have a range, rows are decoded one by one, and what can't be connected to counts as not connected.

--- a/cyclamenshift/http1.py
+++ b/cyclamenshift/http1.py
@@ -48,6 +48,16 @@
 )
 
 
+#: The exceptions raised when no connection can be opened, also because no
+#: server can have the address.
+CONNECT_ERRORS: Final = (
+    OSError,
+    trio.TooSlowError,
+    ValueError,
+    OverflowError,
+)
+
+
 class Address(NamedTuple):
     """The host and port of a server."""
 
@@ -208,7 +218,7 @@
             _set_socket_options(sock)
             with trio.fail_after(CONNECT_TIMEOUT_MS / MS_PER_SECOND):
                 await sock.connect(address)
-        except (OSError, trio.TooSlowError) as error:
+        except CONNECT_ERRORS as error:
             sock.close()
             return NotSent(
                 f'not connected: {type(error).__name__}',
--- a/cyclamenshift/peers/frames.py
+++ b/cyclamenshift/peers/frames.py
@@ -42,6 +42,9 @@
     LeavingAck: 9,
 }
 
+#: The exceptions raised for a frame that is no valid message.
+MESSAGE_ERRORS: Final = (TypeError, ValueError, KeyError, RecursionError)
+
 _TYPES: Final = {tag: message_type for message_type, tag in TAGS.items()}
 
 
@@ -126,7 +129,7 @@
     try:
         tag, *fields = frame
         return cast(Message, _build(_TYPES[tag], fields))
-    except (TypeError, ValueError, KeyError) as error:
+    except MESSAGE_ERRORS as error:
         raise _malformed_message(error) from error
 
 
--- a/cyclamenshift/peers/link.py
+++ b/cyclamenshift/peers/link.py
@@ -15,6 +15,7 @@
 
 from ..clock import MS_PER_SECOND
 from ..errors import ProtocolError
+from ..http1 import CONNECT_ERRORS
 from ..model import EntryVm
 from ..peer import (
     Call,
@@ -152,7 +153,7 @@
         try:
             with trio.fail_after(CONNECT_TIMEOUT_MS / MS_PER_SECOND):
                 stream = await self.open_stream(self.entry)
-        except (OSError, trio.TooSlowError) as error:
+        except CONNECT_ERRORS as error:
             self.refused = isinstance(error, ConnectionRefusedError)
             return False
         self.refused = False
--- a/cyclamenshift/platform/registrations.py
+++ b/cyclamenshift/platform/registrations.py
@@ -9,6 +9,7 @@
 
 from ..worker import Worker
 from .wire import (
+    Amount,
     ResourcesBody,
     Unreadable,
     decode_resources,
@@ -29,7 +30,7 @@
         'address': str,
         'zone': str,
         'state': str,
-        'born': int,
+        'born': Amount,
         'capacity': ResourcesBody,
         # The kind and the rack, in this order.
         'labels': list[str],
--- a/cyclamenshift/platform/reports.py
+++ b/cyclamenshift/platform/reports.py
@@ -5,10 +5,13 @@
 Decodes the reports of workers; encodes and decodes task ids.
 """
 
-from typing import Any, Final, TypedDict
+from typing import Any, Final, NamedTuple, TypedDict
+
+import msgspec
 
 from ..job import RunEnd, RunId, RunOutcome, RunStatus, TaskId
 from ..worker import WorkerReport
+from .wire import DECODING_ERRORS, Amount, Unreadable
 
 #: The maximum number of run ends in one report.
 ENDS_LIMIT: Final = 500
@@ -17,25 +20,46 @@
 ReportBody = TypedDict(
     'ReportBody',
     {
-        'clockMs': int,
-        'born': int,
-        # [task, run, checkpoint, percent, usage]
+        'clockMs': Amount,
+        'born': Amount,
         'running': list[list[Any]],
-        # [number, task, run, outcome, checkpoint]
         'ended': list[list[Any]],
     },
 )
 
 
-def decode_report(body: ReportBody) -> WorkerReport:
+class RunningEntry(NamedTuple):
+    """An entry of ``running``; ``usage`` may be missing."""
+
+    task: str
+    run: Amount
+    checkpoint: str
+    percent: Amount
+    usage: Amount = 0
+
+
+class EndedEntry(NamedTuple):
+    """An entry of ``ended``."""
+
+    number: Amount
+    task: str
+    run: Amount
+    outcome: RunOutcome
+    checkpoint: str
+
+
+def decode_report(body: ReportBody) -> WorkerReport | Unreadable:
     """Return the report; a full one may have omitted further ends."""
-    return WorkerReport(
-        clock=body['clockMs'],
-        started_at=body['born'],
-        running=tuple(_decode_run_status(*entry) for entry in body['running']),
-        ended=tuple(_decode_run_end(*entry) for entry in body['ended']),
-        complete=len(body['ended']) < ENDS_LIMIT,
-    )
+    try:
+        return WorkerReport(
+            clock=body['clockMs'],
+            started_at=body['born'],
+            running=tuple(map(_decode_run_status, body['running'])),
+            ended=tuple(map(_decode_run_end, body['ended'])),
+            complete=len(body['ended']) < ENDS_LIMIT,
+        )
+    except DECODING_ERRORS as error:
+        return Unreadable(str(error))
 
 
 def encode_task_id(task: TaskId) -> str:
@@ -48,23 +72,13 @@
     return TaskId(job_id, int(occurrence), int(step), int(ordinal))
 
 
-def _decode_run_status(
-    name: str,
-    number: int,
-    checkpoint: str,
-    percent: int,
-    usage: int = 0,
-) -> RunStatus:
-    run = RunId(_decode_task_id(name), number)
-    return RunStatus(run, checkpoint, percent, usage)
-
-
-def _decode_run_end(
-    number: int,
-    name: str,
-    run_number: int,
-    outcome: str,
-    checkpoint: str,
-) -> RunEnd:
-    run = RunId(_decode_task_id(name), run_number)
-    return RunEnd(number, run, RunOutcome(outcome), checkpoint)
+def _decode_run_status(entry: list[Any]) -> RunStatus:
+    fields = msgspec.convert(entry, RunningEntry)
+    run = RunId(_decode_task_id(fields.task), fields.run)
+    return RunStatus(run, fields.checkpoint, fields.percent, fields.usage)
+
+
+def _decode_run_end(entry: list[Any]) -> RunEnd:
+    fields = msgspec.convert(entry, EndedEntry)
+    run = RunId(_decode_task_id(fields.task), fields.run)
+    return RunEnd(fields.number, run, fields.outcome, fields.checkpoint)
--- a/cyclamenshift/platform/rows.py
+++ b/cyclamenshift/platform/rows.py
@@ -11,7 +11,14 @@
 import msgspec
 
 from ..store import ABSENT, Fields, Key, Row, Transaction
-from .wire import OPERATOR_TABLE, STATUS_TABLE, WORKER_TABLE
+from .wire import (
+    DECODING_ERRORS,
+    OPERATOR_TABLE,
+    STATUS_TABLE,
+    WORKER_TABLE,
+    Unreadable,
+    convert,
+)
 
 #: The tables shared with the platform's own programs; values are JSON.
 JSON_TABLES: Final = frozenset((OPERATOR_TABLE, STATUS_TABLE, WORKER_TABLE))
@@ -28,11 +35,12 @@
         'removed': NotRequired[bool],
     },
 )
-#: A page of rows; ``ver`` is the newest version of the whole store.
+#: A page of rows; ``ver`` is the newest version of the whole store.  Each row
+#: is decoded by itself, so that an odd one does not hide the others.
 RowsBody = TypedDict(
     'RowsBody',
     {
-        'rows': NotRequired[list[RowBody]],
+        'rows': NotRequired[list[Any]],
         'hasMore': NotRequired[bool],
         'ver': NotRequired[int],
     },
@@ -40,8 +48,11 @@
 
 
 def decode_rows(page: RowsBody) -> list[Row]:
-    """Return the rows of one page."""
-    return [_decode_row(body) for body in page.get('rows', ())]
+    """Return the rows of one page, without those that have no key."""
+    bodies = (convert(row, RowBody) for row in page.get('rows', ()))
+    return [
+        _decode_row(body) for body in bodies if not isinstance(body, Unreadable)
+    ]
 
 
 def _decode_row(body: RowBody) -> Row:
@@ -60,7 +71,7 @@
     )
     try:
         return decode_value(base64.b64decode(value), type=dict[str, Any])
-    except (msgspec.MsgspecError, ValueError):
+    except DECODING_ERRORS:
         return {}
 
 
--- a/cyclamenshift/platform/store.py
+++ b/cyclamenshift/platform/store.py
@@ -65,6 +65,7 @@
         self.client = Client(self.clock, kernel.metrics.load)
         self.timeout = Timeout(MIN_TIMEOUT_MS, MAX_TIMEOUT_MS)
         self.last_error = ''
+        self.rows_left_out = 0
 
     async def read(self, keys: Sequence[Key]) -> list[Row] | Unavailable:
         """Return one row for each key."""
@@ -79,7 +80,7 @@
             page = await self._read_page('rows-get', query)
             if isinstance(page, Unavailable):
                 return page
-            found = {row.key: row for row in decode_rows(page)}
+            found = {row.key: row for row in self._decode_rows(page)}
             rows.append(found.get(key, Row(key, ABSENT, {})))
         return rows
 
@@ -105,10 +106,13 @@
             page = await self._read_page('rows-get', query)
             if isinstance(page, Unavailable):
                 return page
-            rows.extend(decode_rows(page))
+            page_rows = self._decode_rows(page)
+            rows.extend(page_rows)
             versions.append(page.get('ver', ABSENT))
             if not page.get('hasMore'):
                 return Snapshot(tuple(rows), versions[0])
+            if not page_rows:
+                return Unavailable('a page without readable rows')
             last = rows[-1].key.name
             query['from'] = f'{last}\0'
 
@@ -124,7 +128,8 @@
         if isinstance(page, Unavailable):
             lost = page.reason == str(HTTPStatus.GONE.value)
             return HistoryLost() if lost else page
-        return Snapshot(tuple(decode_rows(page)), page.get('ver', version))
+        rows = self._decode_rows(page)
+        return Snapshot(tuple(rows), page.get('ver', version))
 
     async def commit(self, transaction: Transaction) -> CommitResult:
         """Apply *transaction* atomically."""
@@ -163,6 +168,7 @@
             'wait_ms': self.timeout.current(),
             'connections_opened': self.client.opened,
             'last_error': self.last_error,
+            'rows_left_out': self.rows_left_out,
         }
 
     async def _read_page(
@@ -194,6 +200,14 @@
             self.timeout.record(self.clock.now() - started)
         return result
 
+    def _decode_rows(self, page: RowsBody) -> list[Row]:
+        rows = decode_rows(page)
+        left_out = len(page.get('rows', ())) - len(rows)
+        if left_out and not self.rows_left_out:
+            self.log.warning('Rows without a key left out.', rows=left_out)
+        self.rows_left_out += left_out
+        return rows
+
     def _count(self, operation: str, result: ResultType) -> ResultType:
         labels = {'operation': operation, 'result': type(result).__name__}
         self.kernel.metrics.store_calls.inc(labels)
--- a/cyclamenshift/platform/wire.py
+++ b/cyclamenshift/platform/wire.py
@@ -5,9 +5,20 @@
 Tables, JSON objects and decoders that several modules of the adapter use.
 """
 
-from typing import Any, Final, NamedTuple, NotRequired, TypedDict, TypeVar
+import ipaddress
+from typing import (
+    Annotated,
+    Any,
+    Final,
+    NamedTuple,
+    NotRequired,
+    TypeAlias,
+    TypedDict,
+    TypeVar,
+)
 
 import msgspec
+from msgspec import Meta
 
 from ..http1 import Address
 from ..job import Resources
@@ -17,6 +28,17 @@
 WORKER_TABLE: Final = 'servers'
 STATUS_TABLE: Final = 'status'
 
+#: The end of the range of integers that all readers of JSON agree on, which
+#: rows and frames can hold as well.
+MAX_INTEGER: Final = 9_007_199_254_740_991
+#: A count, a number of resources or a time.
+Amount: TypeAlias = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+#: The exceptions raised for a document that can't be decoded; the nesting of
+#: one that another writer made may be too deep.
+DECODING_ERRORS: Final = (msgspec.MsgspecError, ValueError, RecursionError)
+#: The end of the range of TCP ports.
+PORTS_END: Final = 65_536
+
 TargetType = TypeVar('TargetType')
 
 
@@ -30,9 +52,9 @@
 ResourcesBody = TypedDict(
     'ResourcesBody',
     {
-        'cpu': NotRequired[int],
-        'memMb': NotRequired[int],
-        'gpu': NotRequired[int],
+        'cpu': NotRequired[Amount],
+        'memMb': NotRequired[Amount],
+        'gpu': NotRequired[Amount],
     },
 )
 
@@ -43,7 +65,7 @@
     """Convert the decoded *value* to *target_type*."""
     try:
         return msgspec.convert(value, target_type)
-    except msgspec.ValidationError as error:
+    except DECODING_ERRORS as error:
         return Unreadable(str(error))
 
 
@@ -53,14 +75,24 @@
     """Decode the JSON in *raw* to *target_type*."""
     try:
         return msgspec.json.decode(raw, type=target_type)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         return Unreadable(str(error))
 
 
 def parse_address(text: str) -> Address:
-    """Parse ``host:port``; raises ValueError if *text* is no address."""
+    """
+    Parse the IP address and the port in ``host:port``.
+
+    Raises ValueError if *text* is no address to connect to.
+    """
     host, _colon, port = text.rpartition(':')
-    return Address(host, int(port))
+    ipaddress.ip_address(host)
+    if not (port.isascii() and port.isdecimal()):
+        raise ValueError(f'no port: {port}')
+    number = int(port)
+    if not 0 < number < PORTS_END:
+        raise ValueError(f'port out of range: {port}')
+    return Address(host, number)
 
 
 def decode_resources(body: ResourcesBody) -> Resources:
--- a/cyclamenshift/platform/workers.py
+++ b/cyclamenshift/platform/workers.py
@@ -107,9 +107,12 @@
         if not isinstance(result, Response) or result.status != HTTPStatus.OK:
             return _decode_failure(result)
         report = decode_json(result.body, ReportBody)
-        if isinstance(report, Unreadable):
-            return Unanswered(sent=True, reason=report.reason)
-        return decode_report(report)
+        decoded = (
+            report if isinstance(report, Unreadable) else decode_report(report)
+        )
+        if isinstance(decoded, Unreadable):
+            return Unanswered(sent=True, reason=decoded.reason)
+        return decoded
 
     async def throttle(self, worker: Worker, order: Throttle) -> OrderResult:
         """Change the speed limit of a run at *worker*."""
--- a/cyclamenshift/rows.py
+++ b/cyclamenshift/rows.py
@@ -131,7 +131,7 @@
     """
     try:
         return msgspec.convert(row.fields, row_type)
-    except msgspec.ValidationError as error:
+    except (msgspec.ValidationError, RecursionError) as error:
         raise ProtocolError(
             f'The row {row.key} has unexpected fields: {error}.',
             'Compare the versions of the entry VMs and upgrade the older ones.',
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -181,6 +181,21 @@
     }
 
 
+def registration_fields(**overrides: Any) -> dict[str, Any]:
+    """Return the fields with which a worker registers at the platform."""
+    values: dict[str, Any] = {
+        'service': 'desk',
+        'address': '10.0.0.1:8185',
+        'zone': 'dc-1',
+        'state': 'ready',
+        'born': WALL_START,
+        'capacity': {'cpu': 32_000, 'memMb': 65_536},
+        'labels': ['a', 'r1-1'],
+        'machine': 'vm-1',
+    }
+    return values | overrides
+
+
 def provided_vm(vm_id: str = 'vm-1', **overrides: Any) -> ProvidedVm:
     """Return a VM with 32 cores that is up."""
     values: dict[str, Any] = {
