Let an unexpected error end one peer connection, not the process

An error in the handler of one call, or in a listener, went up to the nursery of the whole process. It is logged with its traceback now, and the connection is closed; the caller gets no reply and connects again.

test_unexpected_error_ends_one_connection_only failed before (RuntimeError).

--- a/cyclamenshift/logs.py
+++ b/cyclamenshift/logs.py
@@ -63,10 +63,20 @@
         """Log an error."""
         self._write(logging.ERROR, text, fields)
 
-    def _write(self, level: int, text: str, fields: dict[str, Any]) -> None:
+    def exception(self, text: str, error: BaseException, **fields: Any) -> None:
+        """Log an unexpected error with its traceback."""
+        self._write(logging.ERROR, text, fields, error)
+
+    def _write(
+        self,
+        level: int,
+        text: str,
+        fields: dict[str, Any],
+        error: BaseException | None = None,
+    ) -> None:
         if self.logger.isEnabledFor(level):
             extra = {'part': self.part, 'fields': fields}
-            self.logger.log(level, text, extra=extra)
+            self.logger.log(level, text, extra=extra, exc_info=error)
 
 
 class JsonFormatter(logging.Formatter):
--- a/cyclamenshift/peers/link.py
+++ b/cyclamenshift/peers/link.py
@@ -185,6 +185,12 @@
                     peer=self.entry.entry_id,
                     problem=str(error),
                 )
+        except* Exception as unexpected:
+            self.context.log.exception(
+                'Failed to handle the messages of a peer.',
+                unexpected,
+                peer=self.entry.entry_id,
+            )
         finally:
             self._on_connection_lost()
 
--- a/cyclamenshift/peers/stream.py
+++ b/cyclamenshift/peers/stream.py
@@ -101,6 +101,10 @@
                     'Protocol error on a peer connection.',
                     problem=str(error),
                 )
+        except* Exception as unexpected:
+            self.log.exception(
+                'Failed to serve a peer.', unexpected, peer=session.entry_id
+            )
         finally:
             session.calls_ended.set()
             self.sessions.discard(session)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -22,6 +22,7 @@
     decode_outcome,
     encode_outcome,
 )
+from cyclamenshift.jobmessages import CountQuery
 from cyclamenshift.metrics import Metrics
 from cyclamenshift.model import Done, NotRun, Outcome, Reason, Unknown
 from cyclamenshift.peer import (
@@ -33,7 +34,10 @@
     Leaving,
     LeavingAck,
     Message,
+    NoReply,
     Notification,
+    Payload,
+    Peer,
     Reply,
 )
 from cyclamenshift.peers.connection import Connection
@@ -43,6 +47,7 @@
 from .builders import WALL_START, entry_settings, entry_vm, request
 from .examples import EXAMPLES
 from .standins.fakes import RequestCluster, RequestEntry, transfer_slowly
+from .standins.jobs import JobCluster
 
 #: The heartbeat of the default settings, ms.
 HEARTBEAT_MS = 500
@@ -273,3 +278,21 @@
 def _count_lost_connections(entry: RequestEntry, peer: str) -> int:
     peers = entry.dispatcher.peer.dump()['peers']
     return int(peers[peer]['lost_connections'])
+
+
+async def fail(entry_id: str, call: CountQuery) -> Payload:
+    """Fail to answer a call, as no handler should."""
+    raise RuntimeError('unexpected')
+
+
+async def test_unexpected_error_ends_one_connection_only(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """An error in the handler of one call ended the whole process."""
+    first, second = await job_cluster.start_all(2)
+    second.kernel.get(Peer).add_call_handler(CountQuery, fail)
+    peer = first.kernel.get(Peer)
+    reply = await peer.call('entry-2', CountQuery('desk', 'checks'), 1_000)
+    assert isinstance(reply, NoReply)
+    await job_cluster.wait_until(lambda: 'entry-2' in peer.reachable())
