--- a/cyclamenshift/scheduling/orders.py
+++ b/cyclamenshift/scheduling/orders.py
@@ -146,6 +146,8 @@
         if result.reason is RefusalReason.no_capacity:
             self.session.back_off(now + NO_CAPACITY_BACKOFF_MS)
         elif result.reason is RefusalReason.replaced:
+            # It was not there when the worker crashed.
+            self.state.tracker.remove(self.attempt)
             self.state.close_session(self.session, 'replaced')
         elif result.reason is RefusalReason.fenced:
             await self.state.check_ownership()
