Hold no crash against starts that were not answered yet

A start that is sent to a worker after its crash is refused by the instance that took its address, one after the other; the first refusal closed the session and counted the crash for all of them, although none had run there.

test_start_that_a_replacement_refused_is_no_crash failed before.

--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+from typing import Final
 
 from ..directory import Queue
 from ..job import (
@@ -29,6 +30,11 @@
 from .records import restore
 
 
+#: The phases before the answer to a start.  The answer tells whether the run
+#: was there: a start sent after a crash is refused by the replacement.
+UNANSWERED_PHASES: Final = frozenset((Phase.planned, Phase.ordered))
+
+
 class JobTracker:
     """
     The jobs of one service and the resources that their attempts use.
@@ -157,7 +163,7 @@
         """
         ages: dict[Task, int] = {}
         for attempt in lost:
-            if attempt.phase is not Phase.planned:
+            if attempt.phase not in UNANSWERED_PHASES:
                 counted = attempt.task.job.counting_task(attempt.task)
                 ages[counted] = attempt.age(alive_at)
         given_up: list[Task] = []
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -201,3 +201,23 @@
         await job_cluster.crash_and_restart(sim.worker)
     await trio.sleep(1)
     assert await job_cluster.state_of(submitted) is JobState.running
+
+
+async def test_start_that_a_replacement_refused_is_no_crash(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """It never ran on the worker that had crashed before."""
+    job_cluster.add_workers('desk', 2)
+    await job_cluster.start_all(1)
+    await trio.sleep(1)
+    crashed = next(iter(job_cluster.platform.workers.values()))
+    job_cluster.workers.crash(crashed.worker_id)
+    job_cluster.workers.instances[crashed.instance].replaced = True
+    submitted = job(steps=(step(tasks=2, estimate=1),))
+    entry = next(iter(job_cluster.entries.values()))
+    await job_cluster.submit(entry, submitted)
+    await trio.sleep(0.1)
+    tracker = job_cluster.state('entry-1', 'desk').tracker
+    tasks = tracker.jobs[submitted.job_id].tasks()
+    assert not any(task.crashes.in_a_row for task in tasks)
