Start no task by old registrations of workers

An owner whose reads of the registrations did not come through, while its small commits did, went on to start tasks on workers that had announced their end, or by a capacity that had shrunk: the view of the workers had no age. Beyond the platform's bound nothing starts now, also no run that was chosen before, for example before a pause. It is the pattern of the late configuration, found in the same reads; the reading of a table moves to a class of its own, which both follow.

test_nothing_starts_by_old_registrations failed before.

--- a/cyclamenshift/directory.py
+++ b/cyclamenshift/directory.py
@@ -103,6 +103,11 @@
     def workers(self) -> Mapping[str, Worker]:
         """The registered workers by id, kept current while watched."""
 
+    @property
+    @abc.abstractmethod
+    def workers_age(self) -> int:
+        """How long ago the workers were last known to be current, ms."""
+
     @property
     @abc.abstractmethod
     def maintenances(self) -> Mapping[int, Maintenance]:
--- a/cyclamenshift/platform/directory.py
+++ b/cyclamenshift/platform/directory.py
@@ -6,24 +6,20 @@
 """
 
 from collections.abc import Iterable, Mapping
-from typing import Final, NamedTuple
+from typing import Final
 
 import trio
 
 from ..component import Dump, Host
-from ..decisions.catchup import TableRead, should_scan
 from ..directory import Catalog, Directory, Maintenance
 from ..job import JobState
 from ..plugin import register
 from ..store import (
     ABSENT,
     Committed,
-    HistoryLost,
     Key,
     Row,
-    Snapshot,
     Transaction,
-    Unavailable,
     Write,
     get_store_client,
 )
@@ -37,6 +33,7 @@
     decode_maintenance,
 )
 from .registrations import WorkerBody, decode_worker
+from .table_follower import TableFollower, TableUpdate
 from .wire import (
     OPERATOR_TABLE,
     STATUS_TABLE,
@@ -52,26 +49,6 @@
 #: Interval between polls of the registrations, ms.  Long polls don't help
 #: here, because heartbeats change the registrations all the time.
 WORKERS_POLL_MS: Final = 150
-#: Minimum time between two scans of a table, ms.  While the store drops its
-#: history all the time, each poll would cause one.
-MIN_SCAN_INTERVAL_MS: Final = 700
-#: Delay after a failed call, ms.
-RETRY_DELAY_MS: Final = 200
-
-
-class TableCursor(NamedTuple):
-    """
-    The version up to which a table was read.
-
-    While ``scanned`` is false, the next read must scan the whole table.  No
-    scan starts before ``next_scan``, monotonic ms.
-    """
-
-    table: str
-    version: int
-    scanned: bool
-    next_scan: int = 0
-    last_read: TableRead = TableRead(True, False, False)
 
 
 @register
@@ -89,9 +66,10 @@
         self._maintenances: dict[int, Maintenance] = {}
         self.watchers: set[str] = set()
         self.unreadable_rows: dict[str, str] = {}
-        self.confirmed_at = dict.fromkeys(
-            (OPERATOR_TABLE, WORKER_TABLE), self.clock.now()
+        self.operator_rows = TableFollower(
+            self.store, self.clock, OPERATOR_TABLE
         )
+        self.registrations = TableFollower(self.store, self.clock, WORKER_TABLE)
         self._changed = trio.Event()
         self._confirmed = trio.Event()
         self._watcher_added = trio.Event()
@@ -106,6 +84,11 @@
         """The registered workers by id, kept current while watched."""
         return self._workers
 
+    @property
+    def workers_age(self) -> int:
+        """How long ago the workers were last known to be current, ms."""
+        return self.registrations.age
+
     @property
     def maintenances(self) -> Mapping[int, Maintenance]:
         """The requested maintenances by number."""
@@ -124,9 +107,9 @@
     async def wait_until_current(self, age: int, wait: int) -> bool:
         """Wait until the configuration was confirmed at most *age* ms ago."""
         with self.clock.move_on_after(wait):
-            while self._age_of(OPERATOR_TABLE) > age:
+            while self.operator_rows.age > age:
                 await self._confirmed.wait()
-        return self._age_of(OPERATOR_TABLE) <= age
+        return self.operator_rows.age <= age
 
     async def wait_for_change(self) -> None:
         """Wait until the catalog, the workers or the maintenances change."""
@@ -158,8 +141,8 @@
         return {
             'version': self._catalog.version if self._catalog else None,
             'confirmed_ms_ago': {
-                table: self.clock.now() - confirmed_at
-                for table, confirmed_at in self.confirmed_at.items()
+                follower.table: follower.age
+                for follower in (self.operator_rows, self.registrations)
             },
             'workers': sorted(self._workers),
             'maintenances': sorted(self._maintenances),
@@ -167,81 +150,34 @@
         }
 
     async def _follow_operator_rows(self) -> None:
-        cursor = TableCursor(OPERATOR_TABLE, ABSENT, scanned=False)
+        follower = self.operator_rows
         while True:
-            age = self._age_of(OPERATOR_TABLE)
-            cursor = await self._update(cursor, max(0, OPERATOR_AGE_MS - age))
+            wait = max(0, OPERATOR_AGE_MS - follower.age)
+            update = await follower.read(wait)
+            if update is None:
+                continue
+            changed = self._apply_operator_rows(update.rows)
+            follower.confirm(update, changed=changed)
+            self._confirmed.set()
+            self._confirmed = trio.Event()
+            if changed:
+                self._notify_change()
 
     async def _follow_registrations(self) -> None:
-        cursor = TableCursor(WORKER_TABLE, ABSENT, scanned=False)
+        follower = self.registrations
         while True:
             if not self.watchers:
                 self._watcher_added = trio.Event()
                 await self._watcher_added.wait()
-                cursor = cursor._replace(scanned=False)
-            cursor = await self._update(cursor, 0)
+                follower.restart()
+            update = await follower.read(0)
+            if update is not None:
+                changed = self._apply_registrations(update)
+                follower.confirm(update, changed=changed)
+                if changed:
+                    self._notify_change()
             await self.clock.sleep(WORKERS_POLL_MS)
 
-    async def _update(self, cursor: TableCursor, wait: int) -> TableCursor:
-        """Apply the changes after *cursor*, or the newest rows."""
-        if not cursor.scanned:
-            await self.clock.sleep(self.clock.remaining(cursor.next_scan))
-        asked_at = self.clock.now()
-        full_scan = self._needs_scan(cursor, asked_at)
-        result = await self._read(cursor, wait, full_scan=full_scan)
-        if isinstance(result, HistoryLost):
-            return cursor._replace(scanned=False)
-        if isinstance(result, Unavailable):
-            await self.clock.sleep(RETRY_DELAY_MS)
-            return cursor
-        last_read = self._apply(cursor.table, result, full_scan=full_scan)
-        held = 0 if full_scan or result.rows else wait
-        self.confirmed_at[cursor.table] = asked_at + held
-        self._confirmed.set()
-        self._confirmed = trio.Event()
-        return TableCursor(
-            cursor.table,
-            max(cursor.version, result.version),
-            scanned=True,
-            next_scan=(
-                asked_at + MIN_SCAN_INTERVAL_MS
-                if full_scan
-                else cursor.next_scan
-            ),
-            last_read=last_read,
-        )
-
-    async def _read(
-        self, cursor: TableCursor, wait: int, *, full_scan: bool
-    ) -> Snapshot | HistoryLost | Unavailable:
-        if full_scan:
-            return await self.store.scan(cursor.table)
-        return await self.store.follow(cursor.table, cursor.version, wait)
-
-    def _needs_scan(self, cursor: TableCursor, now: int) -> bool:
-        """Return whether to read the newest rows instead of the changes."""
-        if not cursor.scanned:
-            return True
-        age = self._age_of(cursor.table)
-        return now >= cursor.next_scan and should_scan(cursor.last_read, age)
-
-    def _age_of(self, table: str) -> int:
-        return self.clock.now() - self.confirmed_at[table]
-
-    def _apply(
-        self, table: str, snapshot: Snapshot, *, full_scan: bool
-    ) -> TableRead:
-        newest = {row.key: row for row in snapshot.rows}
-        if table == WORKER_TABLE:
-            changed = self._apply_registrations(
-                newest.values(), full_scan=full_scan
-            )
-        else:
-            changed = self._apply_operator_rows(newest.values())
-        if changed:
-            self._notify_change()
-        return TableRead(full_scan, changed, len(newest) < len(snapshot.rows))
-
     def _apply_operator_rows(self, rows: Iterable[Row]) -> bool:
         """Apply the newest *rows*; return whether anything has changed."""
         previous = (self._catalog, dict(self._maintenances))
@@ -258,7 +194,7 @@
             self._record_unreadable(row, body)
         elif self._catalog is None or body['version'] > self._catalog.version:
             self._catalog = decode_catalog(body)
-            unconfirmed = self._age_of(OPERATOR_TABLE)
+            unconfirmed = self.operator_rows.age
             load = self.kernel.metrics.load
             load.activation_lag_ms.record(unconfirmed)
             self.log.note(
@@ -275,17 +211,12 @@
             maintenance = decode_maintenance(body)
             self._maintenances[maintenance.number] = maintenance
 
-    def _apply_registrations(
-        self,
-        rows: Iterable[Row],
-        *,
-        full_scan: bool,
-    ) -> bool:
-        """Apply the newest *rows*; return whether anything has changed."""
+    def _apply_registrations(self, update: TableUpdate) -> bool:
+        """Apply the newest rows; return whether anything has changed."""
         previous = dict(self._workers)
-        if full_scan:
+        if update.full_scan:
             self._workers.clear()
-        for row in rows:
+        for row in update.rows:
             worker = self._decode_registration(row)
             if worker is None:
                 self._workers.pop(row.key.name, None)
--- a/cyclamenshift/platform/settings.py
+++ b/cyclamenshift/platform/settings.py
@@ -39,6 +39,9 @@
 DRAIN_DELAY_MS: Final = 2_600
 #: Default time within which a configuration must be in force, ms.
 DEFAULT_APPLY_MS: Final = 2_000
+#: Default time within which a worker that announced its end must be avoided,
+#: ms.
+DEFAULT_DRAIN_MS: Final = 2_000
 #: The port of the operators' front end; deploy/system.toml repeats it.
 METRICS_PORT: Final = 9464
 #: The name of the adapter's plug-ins.
@@ -72,6 +75,9 @@
         'leaseMs': NotRequired[int],
         # The time from storing a configuration until it must be in force.
         'configApplyMs': NotRequired[int],
+        # The time after a worker announced its end within which tasks may
+        # still start there.
+        'drainMs': NotRequired[int],
     },
 )
 #: One of the platform's services.
@@ -156,6 +162,7 @@
             ),
             'manager_lease': bounds.get('leaseMs', DEFAULT_MANAGER_LEASE_MS),
             'configuration_age': bounds.get('configApplyMs', DEFAULT_APPLY_MS),
+            'registration_age': bounds.get('drainMs', DEFAULT_DRAIN_MS),
             'provider': body['cloud']['address'],
         },
     }
--- a/cyclamenshift/scheduling/orders.py
+++ b/cyclamenshift/scheduling/orders.py
@@ -101,6 +101,8 @@
         removed = attempt.number not in attempt.task.attempts
         to_stop = attempt.run in self.state.tracker.to_stop
         unavailable = self.session.closed or self.session.worker.leaving
+        if not self.state.knows_workers:
+            unavailable = True
         return removed or to_stop or unavailable or attempt.task.job.state.final
 
     def _start_order(self) -> StartOrder:
@@ -146,8 +148,6 @@
         if result.reason is RefusalReason.no_capacity:
             self.session.back_off(now + NO_CAPACITY_BACKOFF_MS)
         elif result.reason is RefusalReason.replaced:
-            # It was not there when the worker crashed.
-            self.state.tracker.remove(self.attempt)
             self.state.close_session(self.session, 'replaced')
         elif result.reason is RefusalReason.fenced:
             await self.state.check_ownership()
--- a/cyclamenshift/scheduling/placer.py
+++ b/cyclamenshift/scheduling/placer.py
@@ -138,6 +138,8 @@
             )
 
     def _candidates(self, now: int) -> dict[WorkerInstance, Candidate]:
+        if not self.state.knows_workers:
+            return {}
         return {
             instance: Candidate(
                 session.worker,
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -16,6 +16,7 @@
 from ..decisions.progress import Attempt, WorkerInstance
 from ..decisions.reports import ReportApplication, ReportResult
 from ..decisions.tracker import JobTracker
+from ..directory import Directory
 from ..duty import OwnershipTerm
 from ..job import RunEnd, RunId
 from ..jobrows import OwnerRow
@@ -78,6 +79,12 @@
         """The client of the store."""
         return self.recorder.store
 
+    @property
+    def knows_workers(self) -> bool:
+        """Whether the registrations are recent enough to start tasks by."""
+        limit = self.settings['registration_age']
+        return self.kernel.get(Directory).workers_age <= limit
+
     def wake(self) -> None:
         """Wake the tasks that wait for a change."""
         self.changed.set()
--- a/cyclamenshift/settings.py
+++ b/cyclamenshift/settings.py
@@ -97,7 +97,8 @@
     finished job can be queried.  A new fleet manager waits ``manager_lease``
     before its first order.  ``provider`` is the address of the VM provider.
     A configuration that was not confirmed for ``configuration_age`` decides
-    no request.
+    no request, and no task starts by registrations older than
+    ``registration_age``.
     """
 
     plugin: Name
@@ -106,6 +107,7 @@
     keep_final: Millis
     manager_lease: Millis
     configuration_age: Millis
+    registration_age: Millis
     provider: str
 
 
@@ -183,6 +185,7 @@
         'keep_final': 120_000,
         'manager_lease': 3_000,
         'configuration_age': 3_000,
+        'registration_age': 3_000,
         'provider': '',
     },
 }
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -83,7 +83,8 @@
     """
     The data behind all fakes of the platform, with the orders given.
 
-    The VMs in ``leaving`` are listed as up, but refuse orders as busy.  The
+    The directories know the workers as of ``workers_age`` ms ago.  The VMs in
+    ``leaving`` are listed as up, but refuse orders as busy.  The
     next ``lost_orders`` orders get no answer and have no effect.
     """
 
@@ -91,6 +92,7 @@
         """Start with two services and a spare pool, and without VMs."""
         self.catalog: Catalog | None = catalog()
         self.workers: dict[str, Worker] = {}
+        self.workers_age = 0
         self.maintenances: dict[int, Maintenance] = {}
         self.vms: dict[str, ProvidedVm] = {}
         self.published: dict[int, JobState] = {}
@@ -122,6 +124,11 @@
         """The registered workers, by worker id."""
         return self.platform.workers
 
+    @property
+    def workers_age(self) -> int:
+        """How old the registrations are, ms."""
+        return self.platform.workers_age
+
     @property
     def maintenances(self) -> Mapping[int, Maintenance]:
         """The maintenance requests, by number."""
