Hold a relayed read as long as asked also at the next relay

When the first relay did not reach the store, the next one was asked to answer at once. Its empty answer counted as if nothing had changed for the whole hold, so a view could count as confirmed up to 1 s too long, and a long poll became a fast one. The time of a confirmation is never in the future now either.

test_read_is_held_by_the_next_relay failed before (17 ms in place of 500).

--- a/cyclamenshift/controls/relayed_read.py
+++ b/cyclamenshift/controls/relayed_read.py
@@ -45,22 +45,25 @@
         Ask *relays* one after the other; return None if none is of use.
 
         The next one is asked at once when one fails, and otherwise
-        ``PATIENCE_MS`` after the time *wait* for which the store may hold the
-        read, ms.  Those that were asked may still reply.
+        ``PATIENCE_MS`` after the end of the time *wait* for which the store
+        may hold the read, ms.  Those that were asked may still reply.
         """
+        held_until = self.clock.now() + wait
         async with trio.open_nursery() as nursery:
             for relay in relays:
+                hold = self.clock.remaining(held_until)
                 self.attempt_ended = trio.Event()
-                nursery.start_soon(self._ask, relay, call, wait, nursery)
-                with self.clock.move_on_after(wait + PATIENCE_MS):
+                nursery.start_soon(
+                    self._ask, relay, _with_hold(call, hold), hold, nursery
+                )
+                with self.clock.move_on_after(hold + PATIENCE_MS):
                     await self.attempt_ended.wait()
-                call, wait = _without_hold(call), 0
         return self.reply
 
     async def _ask(
-        self, relay: str, call: Payload, wait: int, nursery: trio.Nursery
+        self, relay: str, call: Payload, hold: int, nursery: trio.Nursery
     ) -> None:
-        reply = await self.call_relay(relay, call, wait)
+        reply = await self.call_relay(relay, call, hold)
         if isinstance(reply, NoReply | Unavailable):
             self.attempt_ended.set()
             return
@@ -69,11 +72,11 @@
 
 
 @singledispatch
-def _without_hold(call: Payload) -> Payload:
-    """Return the same read, to be answered at once."""
+def _with_hold(call: Payload, hold: int) -> Payload:
+    """Return the same read, which may be held for *hold* ms if any."""
     return call
 
 
-@_without_hold.register
-def _follow_without_hold(call: FollowCall) -> Payload:
-    return call._replace(wait=0)
+@_with_hold.register
+def _follow_with_hold(call: FollowCall, hold: int) -> Payload:
+    return call._replace(wait=hold)
--- a/cyclamenshift/platform/table_follower.py
+++ b/cyclamenshift/platform/table_follower.py
@@ -89,11 +89,12 @@
             self.next_scan = asked_at + MIN_SCAN_INTERVAL_MS
         newest = {row.key: row for row in result.rows}
         held = 0 if full_scan or newest else wait
+        confirmed_at = min(asked_at + held, self.clock.now())
         return TableUpdate(
             rows=tuple(newest.values()),
             full_scan=full_scan,
             superseded=len(newest) < len(result.rows),
-            confirmed_at=asked_at + held,
+            confirmed_at=confirmed_at,
         )
 
     def confirm(self, update: TableUpdate, *, changed: bool) -> None:
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -160,6 +160,22 @@
         assert access.clock.now() - started <= 100 + RELAY_MS
 
 
+async def test_read_is_held_by_the_next_relay(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """An answer at once counted as if nothing had changed all the while."""
+    entries = await job_cluster.start_all(4)
+    job_cluster.store.cut_off.update(('entry-1', 'entry-2'))
+    access = entries[0].kernel.get(StoreAccess)
+    version = job_cluster.store.table.version + 1
+    for _each in entries:
+        started = access.clock.now()
+        found = await access.follow(OPERATOR_TABLE, version, 500)
+        assert isinstance(found, Snapshot)
+        assert access.clock.now() - started >= 500
+
+
 async def test_lost_history_is_told_through_a_relay(
     job_cluster: JobCluster,
     autojump_clock: MockClock,
