Let the relayed scan of a large table take longer

A scan has 10 s now, and the next relay is asked after 1.5 s; a relay that has gone is noticed by its connection.

test_relayed_scan_may_take_long failed before.

--- a/cyclamenshift/controls/relayed_read.py
+++ b/cyclamenshift/controls/relayed_read.py
@@ -17,13 +17,17 @@
 from ..clock import Clock
 from ..peer import NoReply, Payload
 from ..store import Unavailable
-from ..storemessages import FollowCall
+from ..storemessages import FollowCall, ScanCall
 
 #: How much longer than the store holds a read a relay may take before the next
 #: one is asked, ms: longer than a slow store takes, so that reads are seldom
 #: repeated.
 PATIENCE_MS: Final = 400
 
+#: The same for the scan of a table, which takes as long as the rows need to
+#: pass two small links.  Another relay then sends them once more.
+SCAN_PATIENCE_MS: Final = 1_500
+
 #: Calls a relay, which may hold the read for some ms.
 CallRelay: TypeAlias = Callable[[str, Payload, int], Awaitable[Payload]]
 
@@ -44,9 +48,9 @@
         """
         Ask *relays* one after the other; return None if none is of use.
 
-        The next one is asked at once when one fails, and otherwise
-        ``PATIENCE_MS`` after the end of the time *wait* for which the store
-        may hold the read, ms.  Those that were asked may still reply.
+        The next one is asked at once when one fails, and otherwise some time
+        after the end of the time *wait* for which the store may hold the
+        read, ms.  Those that were asked may still reply.
         """
         held_until = self.clock.now() + wait
         async with trio.open_nursery() as nursery:
@@ -56,7 +60,7 @@
                 nursery.start_soon(
                     self._ask, relay, _with_hold(call, hold), hold, nursery
                 )
-                with self.clock.move_on_after(hold + PATIENCE_MS):
+                with self.clock.move_on_after(hold + _patience(call)):
                     await self.attempt_ended.wait()
         return self.reply
 
@@ -71,6 +75,17 @@
         nursery.cancel_scope.cancel()
 
 
+@singledispatch
+def _patience(call: Payload) -> int:
+    """Return how long a reply may take before the next relay is asked, ms."""
+    return PATIENCE_MS
+
+
+@_patience.register
+def _scan_patience(call: ScanCall) -> int:
+    return SCAN_PATIENCE_MS
+
+
 @singledispatch
 def _with_hold(call: Payload, hold: int) -> Payload:
     """Return the same read, which may be held for *hold* ms if any."""
--- a/cyclamenshift/controls/store_access.py
+++ b/cyclamenshift/controls/store_access.py
@@ -11,6 +11,7 @@
 
 import itertools
 from collections.abc import Sequence
+from functools import singledispatch
 from typing import ClassVar, Final, TypeVar, cast
 
 import trio
@@ -47,6 +48,9 @@
 #: The timeout of a relayed store call, ms: the time that the store itself
 #: may take.
 PEER_TIMEOUT_MS: Final = 2_600
+#: The same for the scan of a table, ms.  A relay that has gone is noticed by
+#: the silence of its connection long before.
+SCAN_TIMEOUT_MS: Final = 10_000
 #: The most relays that are asked for one read.
 MAX_RELAYS: Final = 3
 #: How long a relay that gave no reply is not asked again, ms.
@@ -218,7 +222,8 @@
     ) -> Payload | NoReply:
         self.relayed_calls += 1
         asked_at = self.clock.now()
-        reply = await self.peer.call(relay, call, wait + PEER_TIMEOUT_MS)
+        timeout = wait + _reply_timeout(call)
+        reply = await self.peer.call(relay, call, timeout)
         self._record_relayed(relay, call, reply, asked_at)
         if isinstance(reply, NoReply):
             self.paused_until[relay] = self.clock.now() + RELAY_PAUSE_MS
@@ -288,3 +293,14 @@
         return self._record_reachability(
             await self.store.commit(call.transaction),
         )
+
+
+@singledispatch
+def _reply_timeout(call: Payload) -> int:
+    """Return how long a relay may take beyond the hold of a read, ms."""
+    return PEER_TIMEOUT_MS
+
+
+@_reply_timeout.register
+def _scan_timeout(call: ScanCall) -> int:
+    return SCAN_TIMEOUT_MS
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -50,6 +50,8 @@
 #: that are written meanwhile, ms.
 OUTAGE_MS = 9_000
 STORM_PAUSE_MS = 230
+#: The duration of the scan of a large table over a small link, ms.
+SLOW_SCAN_MS = 4_000
 #: How long a relayed read may take beyond the time that the store holds it, ms.
 RELAY_MS = 1_000
 
@@ -176,6 +178,19 @@
         assert access.clock.now() - started >= 500
 
 
+async def test_relayed_scan_may_take_long(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """The rows of a large table never came whole through a small link."""
+    entries = await job_cluster.start_all(2)
+    job_cluster.store.cut_off.add('entry-1')
+    job_cluster.store.scan_ms = SLOW_SCAN_MS
+    access = entries[0].kernel.get(StoreAccess)
+    found = await access.scan(OPERATOR_TABLE)
+    assert isinstance(found, Snapshot)
+
+
 async def test_lost_history_is_told_through_a_relay(
     job_cluster: JobCluster,
     autojump_clock: MockClock,
