Find tasks that crash their workers with one crash less

Now half of the workers may have one, counted by the whole pool, and a task that had just started both times and was alone the second time is given up after two crashes.

--- a/cyclamenshift/decisions/crashes.py
+++ b/cyclamenshift/decisions/crashes.py
@@ -6,14 +6,17 @@
 
 All that ran on a worker when it crashed is under suspicion.  A task that is
 the likely cause, or was there at several crashes, runs alone for a while, so
-that the next crash tells and hits nothing else.
+that the next crash tells and hits nothing else.  One that then crashes its
+worker right after its start is proved to do so.
 """
 
 from typing import Final, NamedTuple
 
 #: The number of crashes in a row after which a task is given up.  Two may be
-#: a coincidence where workers fail one after the other.
+#: a coincidence where workers fail one after the other, unless the task was
+#: alone at the second and had just started both times.
 MAX_CRASHES: Final = 3
+MIN_CRASHES: Final = 2
 #: The age of a run up to which it is the likely cause of a crash, ms: much
 #: longer than the answer to a start takes, and shorter than most tasks.
 LIKELY_CAUSE_AGE_MS: Final = 200
@@ -23,19 +26,21 @@
 #: How much later in a run the same cause may take effect, ms.
 AGE_TOLERANCE_MS: Final = 300
 #: The divisor of the number of workers: so many of them at a time may have a
-#: run that may crash them.
-POOL_DIVISOR: Final = 3
+#: run that may crash them, or be down after it.
+POOL_DIVISOR: Final = 2
 
 
 class Crashes(NamedTuple):
     """
     How many crashes ``in_a_row`` a task may have caused.
 
-    ``age`` is the greatest age of its run at such a moment, ms.
+    ``age`` is the greatest age of its run at such a moment, ms.  ``alone``
+    tells whether it ran alone on the worker the last time.
     """
 
     in_a_row: int = 0
     age: int = 0
+    alone: bool = False
 
     @property
     def suspicious(self) -> bool:
@@ -46,9 +51,11 @@
     @property
     def proved(self) -> bool:
         """Whether the task is to be given up."""
-        return self.in_a_row >= MAX_CRASHES
+        certain = self.alone and self.age <= LIKELY_CAUSE_AGE_MS
+        limit = MIN_CRASHES if certain else MAX_CRASHES
+        return self.in_a_row >= limit
 
-    def after(self, age: int) -> 'Crashes':
+    def after(self, age: int, *, alone: bool) -> 'Crashes':
         """
         Return the crashes after another one, at *age* ms of the run.
 
@@ -58,8 +65,8 @@
         if age > MAX_CAUSE_AGE_MS:
             return Crashes()
         if self.in_a_row and age > self.age + AGE_TOLERANCE_MS:
-            return Crashes(1, age)
-        return Crashes(self.in_a_row + 1, max(self.age, age))
+            return Crashes(1, age, alone)
+        return Crashes(self.in_a_row + 1, max(self.age, age), alone)
 
     def on_probation(self, age: int) -> bool:
         """Return whether a run of *age* ms may still crash its worker."""
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -230,15 +230,16 @@
         return self.steps.get(step_key, [task])
 
     def record_crash(
-        self, task: Task, age: int, wall_time: int
+        self, task: Task, age: int, wall_time: int, *, alone: bool
     ) -> RunEndEffect:
         """
         Count the crash of a worker where a run of *task* got *age* ms old.
 
-        The job fails once the task is proved to crash its workers, also if
-        the task is long-running.
+        *alone* tells whether no other short task ran there.  The job fails
+        once the task is proved to crash its workers, also if the task is
+        long-running.
         """
-        task.crashes = task.crashes.after(age)
+        task.crashes = task.crashes.after(age, alone=alone)
         if task.crashes.proved:
             return self.finish(JobState.failed, wall_time)
         return RunEndEffect()
--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -166,11 +166,14 @@
             if attempt.phase not in UNANSWERED_PHASES:
                 counted = attempt.task.job.counting_task(attempt.task)
                 ages[counted] = attempt.age(alive_at)
+        short = sum(not task.step.long_running for task in ages)
         given_up: list[Task] = []
         for task, age in ages.items():
             if task.done or task.job.state.final:
                 continue
-            effect = task.job.record_crash(task, age, wall_time)
+            effect = task.job.record_crash(
+                task, age, wall_time, alone=short <= 1
+            )
             self.apply_effect(task.job, effect)
             if task.job.state.final:
                 given_up.append(task)
--- a/cyclamenshift/scheduling/suspects.py
+++ b/cyclamenshift/scheduling/suspects.py
@@ -39,9 +39,7 @@
         one that has to be emptied for the next suspect.
         """
         on_probation = self._workers_on_probation()
-        limit = probation_limit(
-            len(candidates.keys() | on_probation), len(on_probation)
-        )
+        limit = probation_limit(len(self.state.sessions), len(on_probation))
         for instance in on_probation:
             candidates.pop(instance, None)
         window = self.state.order_window
