Empty one worker at a time for suspects

While suspects waited, up to half of a pool's workers were kept from other tasks at the same time until they were empty, and the closed sessions of crashed workers raised the limit.

--- a/cyclamenshift/scheduling/suspects.py
+++ b/cyclamenshift/scheduling/suspects.py
@@ -36,21 +36,29 @@
         Place each suspect on a worker without other short runs.
 
         The workers with a suspect are taken out of *candidates*, and so is
-        one that has to be emptied for the next suspect.
+        the one that is being emptied for the next suspect, if any has to be.
         """
         on_probation = self._workers_on_probation()
-        limit = probation_limit(len(self.state.sessions), len(on_probation))
         for instance in on_probation:
             candidates.pop(instance, None)
-        window = self.state.order_window
-        limit = min(limit, window.free(self.state.service))
+        limit = self._limit(len(on_probation))
         urgent = most_urgent_first(self.tasks, self.state.clock.wall_time())
         fewest_crashes_first = sorted(urgent, key=_count_crashes)
         placements: list[Placement] = []
         for task in fewest_crashes_first[:limit]:
-            placements.extend(self._place_alone(task, candidates))
+            placed = self._place_alone(task, candidates)
+            placements.extend(placed)
+            if not placed:
+                break
         return placements
 
+    def _limit(self, on_probation: int) -> int:
+        """Return how many suspects may be started now."""
+        sessions = self.state.sessions.values()
+        workers = sum(not session.closed for session in sessions)
+        free = self.state.order_window.free(self.state.service)
+        return min(free, probation_limit(workers, on_probation))
+
     def _place_alone(
         self, task: Task, candidates: dict[WorkerInstance, Candidate]
     ) -> list[Placement]:
