Give up no task for workers that go down by themselves

A worker that goes down and up again is empty, so it was the first choice for a task that had to run alone, and two crashes of such workers could give up a task that had caused none. A suspect now gets the worker that has been up for longest, and a crash tells for certain only on a worker that had been up for 5 s.

Found on reading; test_task_outlives_workers_that_go_down_by_themselves passes before and after, its draws did not meet the case.

--- a/cyclamenshift/controls/store_access.py
+++ b/cyclamenshift/controls/store_access.py
@@ -181,7 +181,7 @@
         return self.store_reachable or not self._relays()
 
     def _relays(self) -> list[str]:
-        """Return the peers that reach the store, the next one to ask first."""
+        """Return the peers that reach the store, and did reply lately."""
         reachable = self.peer.reachable()
         relays = sorted(
             entry_id
--- a/cyclamenshift/decisions/crashes.py
+++ b/cyclamenshift/decisions/crashes.py
@@ -25,6 +25,10 @@
 MAX_CAUSE_AGE_MS: Final = 2_000
 #: How much later in a run the same cause may take effect, ms.
 AGE_TOLERANCE_MS: Final = 300
+#: The time for which a worker must have been up before its crash is certain to
+#: be the doing of a task that ran there alone, ms.  One that goes down again
+#: and again by itself is up for a shorter time.
+SETTLED_MS: Final = 5_000
 #: The divisor of the number of workers: so many of them at a time may have a
 #: run that may crash them, or be down after it.
 POOL_DIVISOR: Final = 2
@@ -35,7 +39,7 @@
     How many crashes ``in_a_row`` a task may have caused.
 
     ``age`` is the greatest age of its run at such a moment, ms.  ``alone``
-    tells whether it ran alone on the worker the last time.
+    tells whether it ran alone, on a worker that was settled, the last time.
     """
 
     in_a_row: int = 0
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -235,7 +235,7 @@
         """
         Count the crash of a worker where a run of *task* got *age* ms old.
 
-        *alone* tells whether no other short task ran there.  The job fails
+        *alone* tells whether no other cause is likely.  The job fails
         once the task is proved to crash its workers, also if the task is
         long-running.
         """
--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable
-from typing import Final
+from typing import Final, NamedTuple
 
 from ..directory import Queue
 from ..job import (
@@ -35,6 +35,18 @@
 UNANSWERED_PHASES: Final = frozenset((Phase.planned, Phase.ordered))
 
 
+class WorkerCrash(NamedTuple):
+    """
+    The crash of a worker, last known to be alive at ``alive_at``.
+
+    The time is in monotonic ms.  ``settled`` tells whether it had been up for
+    long enough not to go down by itself.
+    """
+
+    alive_at: int
+    settled: bool
+
+
 class JobTracker:
     """
     The jobs of one service and the resources that their attempts use.
@@ -153,27 +165,21 @@
             attempt.in_touch = False
 
     def record_crash(
-        self, lost: Iterable[Attempt], alive_at: int, wall_time: int
+        self, lost: Iterable[Attempt], crash: WorkerCrash, wall_time: int
     ) -> list[Task]:
         """
         Count the crash of a worker for the tasks that ran there.
 
-        It was last known to be alive at *alive_at*, monotonic ms.  Returns
-        the tasks that are given up, which fail their jobs.
+        Returns the tasks that are given up, which fail their jobs.
         """
-        ages: dict[Task, int] = {}
-        for attempt in lost:
-            if attempt.phase not in UNANSWERED_PHASES:
-                counted = attempt.task.job.counting_task(attempt.task)
-                ages[counted] = attempt.age(alive_at)
+        ages = _ages_by_task(lost, crash.alive_at)
         short = sum(not task.step.long_running for task in ages)
+        alone = crash.settled and short <= 1
         given_up: list[Task] = []
         for task, age in ages.items():
             if task.done or task.job.state.final:
                 continue
-            effect = task.job.record_crash(
-                task, age, wall_time, alone=short <= 1
-            )
+            effect = task.job.record_crash(task, age, wall_time, alone=alone)
             self.apply_effect(task.job, effect)
             if task.job.state.final:
                 given_up.append(task)
@@ -239,6 +245,15 @@
                 self.to_stop[attempt.run] = attempt
 
 
+def _ages_by_task(lost: Iterable[Attempt], alive_at: int) -> dict[Task, int]:
+    """Return how old the runs that were there got, by the counting task."""
+    return {
+        attempt.task.job.counting_task(attempt.task): attempt.age(alive_at)
+        for attempt in lost
+        if attempt.phase not in UNANSWERED_PHASES
+    }
+
+
 def reserved_resources(step: Step) -> Resources:
     """
     Return the resources that a task of *step* reserves at its worker.
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -12,10 +12,11 @@
 
 from ..component import Host
 from ..decisions.arrivals import Arrivals
+from ..decisions.crashes import SETTLED_MS
 from ..decisions.leases import Lease, max_elapsed
 from ..decisions.progress import Attempt, WorkerInstance
 from ..decisions.reports import ReportApplication, ReportResult
-from ..decisions.tracker import JobTracker
+from ..decisions.tracker import JobTracker, WorkerCrash
 from ..directory import Directory
 from ..duty import OwnershipTerm
 from ..job import RunEnd, RunId
@@ -204,7 +205,8 @@
             if leases_expired or restarted:
                 lost = self.tracker.remove_all_at(instance)
                 if restarted:
-                    self._count_crash(worker_id, lost, self.clock.now())
+                    crash = WorkerCrash(self.clock.now(), settled=False)
+                    self._count_crash(worker_id, lost, crash)
                 self.log.warning(
                     'Runs lost.',
                     worker=worker_id,
@@ -253,15 +255,17 @@
         """Count the crash of a worker for the tasks that ran there."""
         now = self.clock.now()
         if not session.leaves_as_planned(now):
-            self._count_crash(
-                session.worker.worker_id, lost, session.alive_at(now)
+            uptime = self.clock.wall_time() - session.worker.started_at
+            crash = WorkerCrash(
+                session.alive_at(now), settled=uptime >= SETTLED_MS
             )
+            self._count_crash(session.worker.worker_id, lost, crash)
 
     def _count_crash(
-        self, worker_id: str, lost: Iterable[Attempt], alive_at: int
+        self, worker_id: str, lost: Iterable[Attempt], crash: WorkerCrash
     ) -> None:
         wall_time = self.clock.wall_time()
-        for task in self.tracker.record_crash(lost, alive_at, wall_time):
+        for task in self.tracker.record_crash(lost, crash, wall_time):
             self.log.warning(
                 'Job given up: a task crashes its workers.',
                 task=task.task_id,
--- a/cyclamenshift/scheduling/suspects.py
+++ b/cyclamenshift/scheduling/suspects.py
@@ -5,6 +5,8 @@
 Keeps the tasks that may crash their workers apart from the other ones.
 """
 
+from typing import NamedTuple
+
 from ..decisions.crashes import probation_limit
 from ..decisions.placement import Candidate, Placement, place
 from ..decisions.progress import Attempt, Task, WorkerInstance
@@ -12,6 +14,20 @@
 from .state import ServiceState
 
 
+class WorkerRank(NamedTuple):
+    """
+    The sort key of a worker for a suspect; the lowest is chosen.
+
+    Of the empty ones that is the one that has been up for longest, as it is
+    the least likely to go down by itself.
+    """
+
+    short_runs: int
+    lasting_runs: int
+    started_at: int
+    worker_id: str
+
+
 class Suspects:
     """
     The waiting tasks of one scheduling pass that have to run alone.
@@ -70,20 +86,18 @@
         ]
         if not fitting:
             return []
-        chosen = min(fitting, key=self._occupancy)
+        chosen = min(fitting, key=self._rank)
         candidate = candidates.pop(chosen)
-        short_runs, _lasting_runs, _instance = self._occupancy(chosen)
-        if short_runs:
+        if self._rank(chosen).short_runs:
             return []
         return place((task,), {chosen: candidate}, 1)
 
-    def _occupancy(
-        self, instance: WorkerInstance
-    ) -> tuple[int, int, WorkerInstance]:
-        """Return how many short and how many lasting runs a worker has."""
+    def _rank(self, instance: WorkerInstance) -> 'WorkerRank':
         attempts = self.state.tracker.attempts_at(instance)
         lasting = sum(attempt.task.step.long_running for attempt in attempts)
-        return (len(attempts) - lasting, lasting, instance)
+        worker_id, started_at = instance
+        short = len(attempts) - lasting
+        return WorkerRank(short, lasting, started_at, worker_id)
 
     def _workers_on_probation(self) -> set[WorkerInstance]:
         attempts = (
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -59,6 +59,8 @@
 #: another instance of the worker is there, ms.
 CRASH_DELAY_MS = 5
 RESTART_MS = 3_200
+#: For how long a worker that goes down again and again is down, and then up.
+FLAP_MS = 700
 #: The duration of a call of the platform, ms.
 PLATFORM_CALL_MS = 4
 #: The time within which a submission or cancellation must be accepted, ms.
@@ -314,6 +316,22 @@
         self.workers.instances[worker.instance].replaced = True
         self.register(worker.vm_id)
 
+    async def flap(self, vm_id: str) -> None:
+        """Crash the worker of a VM again and again, until cancelled."""
+        while True:
+            await trio.sleep(FLAP_MS / 1000)
+            is_up = self.platform.vms[vm_id].phase is VmPhase.up
+            current = [
+                worker_id
+                for worker_id, registered in self.platform.workers.items()
+                if registered.vm_id == vm_id
+            ]
+            if is_up and not current:
+                self.register(vm_id)
+            for worker_id in current:
+                self.workers.crash(worker_id)
+                self.platform.workers.pop(worker_id)
+
     async def start(self, entry_id: str) -> JobEntry:
         """Start an entry VM and return it as soon as it has started."""
         kernel.load_plugins()
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -239,3 +239,25 @@
     tracker = job_cluster.state('entry-1', 'desk').tracker
     tasks = tracker.jobs[submitted.job_id].tasks()
     assert not any(task.crashes.in_a_row for task in tasks)
+
+
+async def test_task_outlives_workers_that_go_down_by_themselves(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Crashes that no task has caused give up no task."""
+    job_cluster.add_workers('desk', 6)
+    await job_cluster.start_all(2)
+    await trio.sleep(6)
+    flapping = [f'desk-vm-{number}' for number in (1, 2)]
+    for vm_id in flapping:
+        job_cluster.nursery.start_soon(job_cluster.flap, vm_id)
+    entry = job_cluster.entry_not_owning('desk')
+    submitted_jobs = [
+        job(f'job-{number}', steps=(step(tasks=4),)) for number in range(30)
+    ]
+    for submitted in submitted_jobs:
+        await job_cluster.submit(entry, submitted)
+        await trio.sleep(0.2)
+    await job_cluster.wait_for_state(JobState.completed, *submitted_jobs)
+    assert not job_cluster.workers.find_violations()
