Count crashes in a row only where they come at the same age of the runs

A crash at a younger age than before counted on; now it begins a new row, as one at an older age does.

test_crashes_at_the_same_age_are_held_against_a_task failed with these ages before.

--- a/cyclamenshift/decisions/crashes.py
+++ b/cyclamenshift/decisions/crashes.py
@@ -23,7 +23,7 @@
 #: The age of a run beyond which it is not the cause, ms: a task that crashes
 #: each worker that starts it does so before.
 MAX_CAUSE_AGE_MS: Final = 2_000
-#: How much later in a run the same cause may take effect, ms.
+#: How much earlier or later in a run the same cause may take effect, ms.
 AGE_TOLERANCE_MS: Final = 300
 #: The time for which a worker must have been up before its crash is certain to
 #: be the doing of a task that ran there alone, ms.  One that goes down again
@@ -63,12 +63,13 @@
         """
         Return the crashes after another one, at *age* ms of the run.
 
-        A run that got older than those before had not caused the earlier
-        ones, as it had outlived their moment.
+        A cause takes effect at about the same age of each run.  So a run
+        that got older had not caused the earlier crashes, and one that got
+        less old is at another one.
         """
         if age > MAX_CAUSE_AGE_MS:
             return Crashes()
-        if self.in_a_row and age > self.age + AGE_TOLERANCE_MS:
+        if self.in_a_row and abs(age - self.age) > AGE_TOLERANCE_MS:
             return Crashes(1, age, alone)
         return Crashes(self.in_a_row + 1, max(self.age, age), alone)
 
