Let a suspect that fits nowhere hold up no other

The first suspect in the row that could not be placed ended the pass, whether a worker was being emptied for it or no worker would ever do.

test_suspect_that_fits_nowhere_holds_up_no_other failed before (TooSlowError).

--- a/cyclamenshift/scheduling/suspects.py
+++ b/cyclamenshift/scheduling/suspects.py
@@ -32,7 +32,8 @@
     """
     The waiting tasks of one scheduling pass that have to run alone.
 
-    ``others`` are the tasks that may share a worker.
+    ``others`` are the tasks that may share a worker.  ``is_emptying`` is set
+    once a worker is kept free of new runs for the next suspect.
     """
 
     def __init__(self, state: ServiceState, now: int) -> None:
@@ -41,6 +42,7 @@
         self.now = now
         self.tasks: list[Task] = []
         self.others: list[Task] = []
+        self.is_emptying = False
         for task in state.tracker.waiting.values():
             alone = task.crashes.suspicious and not task.step.gang
             (self.tasks if alone else self.others).append(task)
@@ -61,11 +63,10 @@
         urgent = most_urgent_first(self.tasks, self.state.clock.wall_time())
         fewest_crashes_first = sorted(urgent, key=_count_crashes)
         placements: list[Placement] = []
-        for task in fewest_crashes_first[:limit]:
-            placed = self._place_alone(task, candidates)
-            placements.extend(placed)
-            if not placed:
+        for task in fewest_crashes_first:
+            if self.is_emptying or len(placements) >= limit:
                 break
+            placements.extend(self._place_alone(task, candidates))
         return placements
 
     def _limit(self, on_probation: int) -> int:
@@ -89,6 +90,7 @@
         chosen = min(fitting, key=self._rank)
         candidate = candidates.pop(chosen)
         if self._rank(chosen).short_runs:
+            self.is_emptying = True
             return []
         return place((task,), {chosen: candidate}, 1)
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -262,3 +262,22 @@
         await trio.sleep(0.2)
     await job_cluster.wait_for_state(JobState.completed, *submitted_jobs)
     assert not job_cluster.workers.find_violations()
+
+
+async def test_suspect_that_fits_nowhere_holds_up_no_other(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """It was the first in the row for ever, and the others never started."""
+    job_cluster.add_workers('desk', 2)
+    await job_cluster.start_all(1)
+    entry = next(iter(job_cluster.entries.values()))
+    steps = (step(tasks=1, required_label='none'),)
+    suspects = [job('job-1', steps=steps), job('job-2')]
+    tracker = job_cluster.state('entry-1', 'desk').tracker
+    for submitted in suspects:
+        await job_cluster.submit(entry, submitted)
+        for task in tracker.jobs[submitted.job_id].tasks():
+            task.crashes = Crashes(1, 0)
+    with trio.fail_after(SPAN_S):
+        await job_cluster.wait_for_state(JobState.completed, suspects[1])
