--- a/cyclamenshift/controls/acquirer.py
+++ b/cyclamenshift/controls/acquirer.py
@@ -17,7 +17,7 @@
 )
 from ..duty import OwnershipTerm
 from ..jobmessages import HolderQuery
-from ..jobrows import OwnerRow, owner_key
+from ..ownerrows import OwnerRow, owner_key
 from ..logs import get_logger
 from ..store import (
     ABSENT,
@@ -101,7 +101,7 @@
         holder = status.row
         query = HolderQuery(domain, holder['holder'], holder['epoch'])
         vacant_for = self.clock.now() - vacant_since
-        if await self.probe.confirms_loss(query, vacant_for):
+        if await self.probe.confirms_loss(query, status, vacant_for):
             return True
         self.log.note('Domain left to its holder.', **query._asdict())
         delay = max(MIN_PROBE_DELAY_MS, vacant_for // 2)
--- a/cyclamenshift/controls/holders.py
+++ b/cyclamenshift/controls/holders.py
@@ -5,10 +5,14 @@
 What an entry VM knows of the holders of domains.
 """
 
+from collections.abc import Collection
+
 from ..clock import Clock
 from ..component import Dump
 from ..decisions.owners import HolderStatus, is_isolated
-from ..jobrows import OwnerRow
+from ..decisions.watching import PeerView, watched_peers
+from ..jobmessages import HolderQuery
+from ..ownerrows import OwnerRow
 from ..model import EntryVm
 from ..peer import Peer
 from ..rows import decode_row
@@ -18,10 +22,13 @@
 
 class Holders:
     """
-    The epochs of the domains, and the state of the entry VMs in the rows.
+    The rows of the domains, and the state of the entry VMs in them.
 
-    ``isolated_since`` is since when this entry VM seems to be cut off from
-    its peers, monotonic ms, None if it does not.
+    ``epochs`` has the latest epoch of each domain and when it became known.
+    ``reported`` has the domains that each connected peer reports to own, with
+    their epochs; ``doubtful`` the domains of which the connection to the holder
+    was lost.  ``isolated_since`` is since when this entry VM seems to be
+    cut off from its peers, monotonic ms, None if it does not.
     """
 
     def __init__(
@@ -35,6 +42,10 @@
         self.peer = peer
         self.membership = membership
         self.epochs: dict[str, tuple[int, int]] = {}
+        self.rows: dict[str, OwnerRow] = {}
+        self.reported: dict[str, dict[str, int]] = {}
+        self.doubtful: set[str] = set()
+        self.watched_view: PeerView | None = None
         self.isolated_since: int | None = None
 
     def record_epoch(self, domain: str, epoch: int) -> None:
@@ -43,9 +54,52 @@
         if known is None or known[0] < epoch:
             self.epochs[domain] = (epoch, self.clock.now())
 
+    def record_row(self, domain: str, row: OwnerRow) -> None:
+        """Record the owner row of a domain, unless a later one is known."""
+        known = self.rows.get(domain)
+        if known is None or known['epoch'] <= row['epoch']:
+            self.rows[domain] = row
+        self.record_epoch(domain, row['epoch'])
+
+    def forget_reported(self, entry_id: str) -> None:
+        """Forget what a peer has reported, as its connection has ended."""
+        self.doubtful.update(self.reported.pop(entry_id, ()))
+
+    def take_doubtful(self) -> list[HolderQuery]:
+        """Return and clear the questions about holders in doubt."""
+        queries = [
+            HolderQuery(domain, row['holder'], row['epoch'])
+            for domain, row in self.rows.items()
+            if domain in self.doubtful
+        ]
+        self.doubtful.clear()
+        return queries
+
+    def watch_peers(self, vacant: Collection[str]) -> None:
+        """Watch the peers that matter, while the *vacant* domains are so."""
+        view = self.view(vacant)
+        if view != self.watched_view:
+            self.watched_view = view
+            self.peer.watch(watched_peers(view))
+
+    def owner_of(self, domain: str) -> str | None:
+        """Return the peer that owns *domain*, None if it has no live owner."""
+        alive = self.peer.alive()
+        row = self.rows.get(domain)
+        epoch = row['epoch'] if row else 0
+        owners = [
+            (reported[domain], entry_id)
+            for entry_id, reported in self.reported.items()
+            if entry_id in alive and reported.get(domain, 0) >= max(1, epoch)
+        ]
+        if owners:
+            return max(owners)[1]
+        return row['holder'] if row and self._holds(domain, row) else None
+
     def check_isolation(self) -> None:
         """Check whether this entry VM still hears enough of its peers."""
-        if not is_isolated(self.membership.registered, self.peer.responding()):
+        tried = self.peer.tried().intersection(self.membership.registered)
+        if not is_isolated(tried, self.peer.responding()):
             self.isolated_since = None
         elif self.isolated_since is None:
             self.isolated_since = self.clock.now()
@@ -55,7 +109,7 @@
         if row.version == ABSENT:
             return None
         holder = decode_row(row, OwnerRow)
-        self.record_epoch(domain, holder['epoch'])
+        self.record_row(domain, holder)
         entry_id = holder['holder']
         return HolderStatus(
             row=holder,
@@ -64,6 +118,19 @@
             known_for=self.clock.now() - self.epochs[domain][1],
         )
 
+    def view(self, vacant: Collection[str]) -> PeerView:
+        """Return what is known of the peers and the domains."""
+        own = self.membership.own
+        registered = self.membership.registered
+        holders = {domain: row['holder'] for domain, row in self.rows.items()}
+        return PeerView(
+            own=own,
+            members={**registered, own.entry_id: own},
+            down=registered.keys() - self.peer.alive(),
+            holders=holders,
+            vacant=vacant,
+        )
+
     def describe(self, status: HolderStatus | None, vacant_since: int) -> Dump:
         """Return why a domain is taken from its holder, for the log."""
         if status is None:
@@ -78,6 +145,16 @@
             'peers_registered': len(self.membership.registered),
         }
 
+    def _holds(self, domain: str, row: OwnerRow) -> bool:
+        """Return whether the holder in *row* seems to own the domain."""
+        holder = row['holder']
+        entry = self.membership.registered.get(holder)
+        if entry is None or entry.incarnation != row['incarnation']:
+            return False
+        if holder not in self.peer.alive():
+            return False
+        return holder not in self.reported
+
     def _registered(self, entry_id: str) -> EntryVm | None:
         if entry_id == self.membership.own.entry_id:
             return self.membership.own
--- a/cyclamenshift/controls/membership.py
+++ b/cyclamenshift/controls/membership.py
@@ -6,7 +6,8 @@
 """
 
 import uuid
-from typing import ClassVar
+from collections.abc import Mapping
+from typing import ClassVar, Final
 
 import trio
 
@@ -32,6 +33,8 @@
 
 #: The fixed width of a timestamp in ms, so that incarnations sort by time.
 TIMESTAMP_DIGITS = 13
+#: How long the store may hold a call while no registration changes, ms.
+FOLLOW_WAIT_MS: Final = 3_000
 
 
 @register
@@ -55,6 +58,7 @@
             incarnation=_new_incarnation(self.clock),
             size=entry['size'],
             answers_probes=kernel.settings['entry']['work'] == 'jobs',
+            takes_pace=True,
         )
         self.registered: dict[str, EntryVm] = {}
         self.version = ABSENT
@@ -66,15 +70,14 @@
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Register, then read the registrations with each poll."""
+        """Register, then follow the registrations."""
         await self.refresh()
-        task_status.started()
-        poll = self.kernel.settings['store']['poll']
-        while True:
-            with self.clock.move_on_after(poll):
-                await self._refresh_requested.wait()
-            self._refresh_requested = trio.Event()
-            await self.refresh()
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            nursery.start_soon(self._refresh_on_request)
+            while True:
+                await self.clock.sleep(self.kernel.settings['store']['poll'])
+                await self.refresh(FOLLOW_WAIT_MS)
 
     def refresh_if_unknown(self, entry_id: str, incarnation: str) -> None:
         """Request a refresh if the connecting peer is not known yet."""
@@ -82,26 +85,19 @@
         if known is None or known.incarnation != incarnation:
             self._refresh_requested.set()
 
-    async def refresh(self) -> None:
-        """Register if that is not done yet, and read the registrations."""
+    async def refresh(self, wait: int = 0) -> None:
+        """
+        Register if that is not done yet, and read the registrations.
+
+        Waits for a change for at most *wait* ms.
+        """
         if self.version == ABSENT and not self.kernel.draining:
             await self._register()
-        snapshot = await self._read_changes()
+        snapshot, is_complete = await self._read_changes(wait)
         if isinstance(snapshot, Unavailable):
             return
-        registered = {} if self.read_version == ABSENT else self.registered
-        self.read_version = max(self.read_version, snapshot.version)
-        registered = registered.copy()
-        for row in snapshot.rows:
-            entry = self._read_entry(row)
-            if entry is None:
-                registered.pop(row.key.name, None)
-            elif entry.entry_id != self.own.entry_id:
-                registered[entry.entry_id] = entry
-        if registered != self.registered:
-            self.registered = registered
-            self.changed.set()
-            self.changed = trio.Event()
+        if snapshot.version >= self.read_version:
+            self._apply(snapshot, {} if is_complete else self.registered)
 
     async def announce_leaving(self) -> None:
         """Delete the registration, if it still belongs to this process."""
@@ -123,14 +119,44 @@
             'registered': sorted(self.registered),
         }
 
-    async def _read_changes(self) -> Snapshot | Unavailable:
-        """Read what has changed since the last read, at first all rows."""
+    async def _refresh_on_request(self) -> None:
+        while True:
+            await self._refresh_requested.wait()
+            self._refresh_requested = trio.Event()
+            await self.refresh()
+
+    async def _read_changes(
+        self, wait: int
+    ) -> tuple[Snapshot | Unavailable, bool]:
+        """
+        Read what has changed since the last read, at first all rows.
+
+        Also returns whether these are all rows.
+        """
         if self.read_version != ABSENT:
-            changes = await self.store.follow(ENTRY_TABLE, self.read_version, 0)
+            changes = await self.store.follow(
+                ENTRY_TABLE, self.read_version, wait
+            )
             if not isinstance(changes, HistoryLost):
-                return changes
-            self.read_version = ABSENT
-        return await self.store.scan(ENTRY_TABLE)
+                return changes, False
+        return await self.store.scan(ENTRY_TABLE), True
+
+    def _apply(
+        self, snapshot: Snapshot, previous: Mapping[str, EntryVm]
+    ) -> None:
+        """Apply the rows of *snapshot* to the *previous* registrations."""
+        self.read_version = max(self.read_version, snapshot.version)
+        registered = dict(previous)
+        for row in snapshot.rows:
+            entry = self._read_entry(row)
+            if entry is None:
+                registered.pop(row.key.name, None)
+            elif entry.entry_id != self.own.entry_id:
+                registered[entry.entry_id] = entry
+        if registered != self.registered:
+            self.registered = registered
+            self.changed.set()
+            self.changed = trio.Event()
 
     def _read_entry(self, row: Row) -> EntryVm | None:
         if row.version == ABSENT:
@@ -151,6 +177,7 @@
             incarnation=self.own.incarnation,
             size=self.own.size,
             answers_probes=self.own.answers_probes,
+            takes_pace=self.own.takes_pace,
         )
         transaction = Transaction((), (Write(key, row),))
         result = await self.store.commit(transaction)
--- a/cyclamenshift/controls/ownership.py
+++ b/cyclamenshift/controls/ownership.py
@@ -5,12 +5,13 @@
 Assigns each domain to one owner among the live entry VMs.
 
 An entry VM becomes the owner by a conditional write of the domain's row.
-Peers report to each other which domains they own.  When an owner is gone,
-the candidate with the highest rank takes over the row with a higher epoch.
+All follow these rows, and connected peers report what they own.  When an owner
+is gone, the candidate with the highest rank takes over the row with a higher
+epoch.
 """
 
-from collections.abc import Mapping
-from typing import ClassVar
+from collections.abc import Collection, Mapping, Sequence
+from typing import ClassVar, Final
 
 import trio
 
@@ -19,34 +20,35 @@
 from ..decisions.membership import live_members
 from ..decisions.owners import (
     ISOLATED_DELAY_MS,
-    HeldDomains,
     held_by_predecessor,
     rank_members,
 )
 from ..directory import Directory
 from ..duty import Duty, OwnershipTerm, TermEnd
 from ..jobmessages import Holdings, OwnedDomain
-from ..jobrows import OwnerRow, owner_key
+from ..ownerrows import OwnerRow
 from ..peer import ChangeReporter, NoReply, Payload, Peer, Reporter
 from ..plugin import register
 from ..rows import decode_row
-from ..store import (
-    ABSENT,
-    Unavailable,
-    get_store_client,
-)
+from ..store import ABSENT, Row, get_store_client
 from .acquirer import Acquirer
+from .challenges import Challenges
 from .holder_probe import HolderProbe
 from .holders import Holders
 from .membership import Membership
+from .owner_feed import OwnerFeed
 
-#: The interval at which vacant domains are checked for, ms.
-CHECK_INTERVAL_MS = 100
+#: The interval at which the domains are checked, ms, while some are vacant and
+#: while none is.  Changes of peers and rows cause a check at once.
+CHECK_INTERVAL_MS: Final = 100
+IDLE_CHECK_INTERVAL_MS: Final = 1_000
 #: How long a new process waits to hear from its peers before it takes a
 #: domain that had an owner before, ms.
 RESTART_DELAY_MS = 600
-#: The additional delay for each rank behind the first candidate, ms.
-RANK_DELAY_MS = 400
+#: The additional delay for each rank behind the first candidate, ms, and the
+#: highest rank that counts.
+RANK_DELAY_MS: Final = 400
+MAX_RANK: Final = 10
 #: How long a new process waits before it takes a domain that never had an
 #: owner, ms.  By then all processes of the first start are connected.
 FIRST_START_DELAY_MS = 1_500
@@ -72,18 +74,20 @@
         self.directory = kernel.get(Directory)
         self.duties = kernel.get_all(Duty)
         self.terms: dict[str, OwnershipTerm] = {}
-        self.peer_domains: dict[str, dict[str, int]] = {}
         self.vacant_since: dict[str, int] = {}
         self.domain_tasks: set[str] = set()
         self.holders = Holders(self.clock, self.peer, self.membership)
         self.previously_owned: set[str] = set()
-        self.acquirer = Acquirer(
-            kernel, self.holders, HolderProbe(kernel, self._domains_of)
+        self.challenges = Challenges(self.clock, self.store, self._able_term)
+        self.probe = HolderProbe(
+            kernel, self.holders, self.challenges, self._domains_of
         )
+        self.acquirer = Acquirer(kernel, self.holders, self.probe)
         self.started_at = self.clock.now()
         self.peer.add_listener(Holdings, self._on_holdings)
         self.peer.add_reporter(self._make_reporter)
         self.peer.add_watcher(self._on_peer_change)
+        self.peer.watch({})
         self._check_requested = trio.Event()
         kernel.metrics.load.owned_epochs.source = self.owned_epochs
 
@@ -95,13 +99,7 @@
         """Return the id of the entry VM that owns *domain*, if known."""
         if domain in self.terms:
             return self.membership.own.entry_id
-        alive = self.peer.alive()
-        owners = [
-            (held[domain], entry_id)
-            for entry_id, held in self.peer_domains.items()
-            if domain in held and entry_id in alive
-        ]
-        return max(owners)[1] if owners else None
+        return self.holders.owner_of(domain)
 
     async def call_owner(
         self,
@@ -124,13 +122,18 @@
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Acquire vacant domains, periodically and after changes of peers."""
+        """Acquire vacant domains, periodically and after changes."""
         async with trio.open_nursery() as nursery:
             task_status.started()
-            nursery.start_soon(self._read_epochs)
+            nursery.start_soon(self._follow_owners)
             while True:
                 self._acquire_vacant(nursery)
-                with self.clock.move_on_after(CHECK_INTERVAL_MS):
+                pause = (
+                    CHECK_INTERVAL_MS
+                    if self.vacant_since or self.directory.catalog is None
+                    else IDLE_CHECK_INTERVAL_MS
+                )
+                with self.clock.move_on_after(pause):
                     await self._check_requested.wait()
                 self._check_requested = trio.Event()
 
@@ -144,24 +147,46 @@
         return {
             'entry': self.membership.own.entry_id,
             'own': self.owned_epochs(),
-            'peers': self.peer_domains,
+            'peers': self.holders.reported,
         }
 
     def _on_holdings(self, entry_id: str, holdings: Holdings) -> None:
-        self.peer_domains[entry_id] = dict(holdings.domains)
+        self.holders.reported[entry_id] = dict(holdings.domains)
         for domain, epoch in holdings.domains:
             self.holders.record_epoch(domain, epoch)
         self._check_requested.set()
 
     def _on_peer_change(self, entry_id: str) -> None:
-        if entry_id not in self.peer.alive():
-            self.peer_domains.pop(entry_id, None)
+        if entry_id not in self.peer.reachable():
+            self.holders.forget_reported(entry_id)
+        self._check_requested.set()
+
+    def _on_owner_row(self, row: Row) -> None:
+        if row.version == ABSENT:
+            return
+        fields = decode_row(row, OwnerRow)
+        domain = row.key.partition
+        self.holders.record_row(domain, fields)
+        if fields['holder'] != self.membership.own.entry_id:
+            self.membership.refresh_if_unknown(
+                fields['holder'], fields['incarnation']
+            )
+        if held_by_predecessor(row, self.membership.own):
+            self.previously_owned.add(domain)
+        term = self.terms.get(domain)
+        if term and row.version > term.version:
+            term.check_row(fields, row.version, 'feed')
         self._check_requested.set()
 
+    def _able_term(self, domain: str) -> OwnershipTerm | None:
+        """Return the term of an owned domain that can be served."""
+        able = any(duty.is_able(domain) for duty in self.duties)
+        return self.terms.get(domain) if able else None
+
     def _domains_of(self, entry_id: str) -> Mapping[str, int]:
         if entry_id == self.membership.own.entry_id:
             return dict(self._current_holdings().domains)
-        return self.peer_domains.get(entry_id, {})
+        return self.holders.reported.get(entry_id, {})
 
     def _make_reporter(self) -> Reporter:
         return ChangeReporter(self._current_holdings)
@@ -192,33 +217,47 @@
             self.vacant_since.pop(domain)
         for domain in vacant:
             self.vacant_since.setdefault(domain, now)
-        for domain in self._due_domains(vacant - self.domain_tasks):
+        self.holders.watch_peers(vacant)
+        for query in self.holders.take_doubtful():
+            nursery.start_soon(self.probe.question, query)
+        for domain in self._due_domains(vacant - self.domain_tasks, nursery):
             self.domain_tasks.add(domain)
             nursery.start_soon(self._own_domain, domain, duty_by_domain[domain])
 
-    def _due_domains(self, vacant: set[str]) -> list[str]:
+    def _due_domains(
+        self, vacant: Collection[str], nursery: trio.Nursery
+    ) -> list[str]:
         """
         Return the vacant domains that this entry VM should acquire now.
 
-        Candidates wait by rank.  A domain that an earlier process of this
-        entry VM still holds is taken without a delay.
+        Candidates wait by rank, and see to it that those before them know.  A
+        domain that an earlier process of this entry VM still holds is taken
+        without a delay.
         """
         now = self.clock.now()
+        own_id = self.membership.own.entry_id
+        ranking = self._rank_members(vacant)
+        due = []
+        for domain, order in ranking.items():
+            earlier = order[: order.index(own_id)]
+            overdue = now - self._eligible_from(domain)
+            delay = min(len(earlier), MAX_RANK) * RANK_DELAY_MS
+            if domain in self.previously_owned or overdue >= delay:
+                due.append(domain)
+            elif overdue >= 0:
+                nursery.start_soon(self.probe.alert, domain, earlier)
+        return due
+
+    def _rank_members(self, vacant: Collection[str]) -> dict[str, list[str]]:
+        own = self.membership.own
         members = live_members(
-            self.membership.registered,
-            self.peer.alive(),
-            self.membership.own,
+            self.membership.registered, self.peer.alive(), own
         )
-        own_id = self.membership.own.entry_id
-        held: HeldDomains = {**self.peer_domains, own_id: self.terms}
-        ranking = rank_members(vacant, members, held)
-        return [
-            domain
-            for domain, order in ranking.items()
-            if domain in self.previously_owned
-            or now
-            >= self._eligible_from(domain) + order.index(own_id) * RANK_DELAY_MS
-        ]
+        held: dict[str, list[str]] = {own.entry_id: list(self.terms)}
+        for domain, row in self.holders.rows.items():
+            if domain not in vacant and row['holder'] != own.entry_id:
+                held.setdefault(row['holder'], []).append(domain)
+        return rank_members(vacant, members, held)
 
     def _eligible_from(self, domain: str) -> int:
         """Return from when *domain* may be acquired, monotonic ms."""
@@ -268,23 +307,20 @@
             unconfirmed_ms=self.clock.now() - term.confirmed_at,
         )
 
-    async def _read_epochs(self) -> None:
-        """Read which domains had an owner, once the catalog is known."""
-        while self.directory.catalog is None:
+    async def _follow_owners(self) -> None:
+        """Follow the owner rows, once the catalog is known."""
+        while not self._domains():
             await self.directory.wait_for_change()
-        domains = [
-            domain
-            for duty in self.duties
-            for domain in duty.domains(self.directory.catalog)
-        ]
-        rows = await self.store.read([owner_key(name) for name in domains])
-        if isinstance(rows, Unavailable):
-            return
-        for domain, row in zip(domains, rows, strict=True):
-            if row.version != ABSENT:
-                self.holders.record_epoch(
-                    domain, decode_row(row, OwnerRow)['epoch']
-                )
-            if held_by_predecessor(row, self.membership.own):
-                self.previously_owned.add(domain)
-        self._check_requested.set()
+        feed = OwnerFeed(
+            self.clock, self.store, self.challenges, self._on_owner_row
+        )
+        await feed.run(self._domains)
+
+    def _domains(self) -> Sequence[str]:
+        """Return all domains under the active configuration."""
+        catalog = self.directory.catalog
+        if catalog is None:
+            return ()
+        return tuple(
+            domain for duty in self.duties for domain in duty.domains(catalog)
+        )
--- a/cyclamenshift/controls/store_access.py
+++ b/cyclamenshift/controls/store_access.py
@@ -10,6 +10,7 @@
 """
 
 import itertools
+import random
 from collections.abc import Sequence
 from typing import ClassVar, Final, TypeVar, cast
 
@@ -43,6 +44,8 @@
 
 #: The interval at which a lost direct path to the store is probed, ms.
 PROBE_INTERVAL_MS: Final = 400
+#: How many peers are asked at a time whether they reach the store.
+CONTACTED_PEERS: Final = 4
 #: The timeout of a relayed store call, ms: the time that the store itself
 #: may take.
 PEER_TIMEOUT_MS: Final = 2_600
@@ -85,10 +88,12 @@
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Probe the direct path while it is lost."""
+        """Probe the direct path while it is lost, and look for relays."""
         task_status.started()
         while True:
             await self._direct_path_lost.wait()
+            if not self._relays():
+                await self._contact_peers()
             await self.clock.sleep(PROBE_INTERVAL_MS)
             self._record_reachability(await self.store.read([HEAD_KEY]))
 
@@ -174,6 +179,16 @@
             if reached and entry_id in reachable
         )
 
+    async def _contact_peers(self) -> None:
+        """Connect to more peers, which tell then whether they reach it."""
+        others = sorted(self.peer.alive() - self.peer.reachable())
+        chosen = random.sample(others, min(len(others), CONTACTED_PEERS))
+        async with trio.open_nursery() as nursery:
+            for entry_id in chosen:
+                nursery.start_soon(
+                    self.peer.contact, entry_id, PROBE_INTERVAL_MS
+                )
+
     async def _relay(self, call: Payload, wait: int = 0) -> Payload | NoReply:
         relays = self._relays()
         if not relays:
--- a/cyclamenshift/decisions/owners.py
+++ b/cyclamenshift/decisions/owners.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from ..jobrows import OwnerRow
+from ..ownerrows import OwnerRow
 from ..model import EntryVm
 from ..rows import decode_row
 from ..store import ABSENT, Row
@@ -22,6 +22,12 @@
 #: connected, ms: longer than it takes to connect to a new process.
 UNSEEN_HOLDER_MS: Final = 1_200
 
+#: How long a holder that answers through the store keeps a domain although no
+#: peer hears it, ms; most disturbances of connections are over by then.
+ANSWERING_HOLDER_MS: Final = 1_500
+#: For how long that holds in any case after a change of the holder, ms.
+NEW_HOLDER_MS: Final = 10_000
+
 #: The additional delay of an entry VM that is probably the one cut off, ms.
 #: By then a holder that is gone has given its last lease, and usual
 #: disturbances of the network have passed.
@@ -129,11 +135,13 @@
     candidates: Iterable[EntryVm],
     holder: str,
     attempt: str,
+    informed: Collection[str] = (),
 ) -> list[str]:
     """
     Return the peers to ask whether they hear *holder*.
 
-    They vary with *attempt*, which identifies the asker and its attempt.
+    The *informed* ones come first.  The others vary with *attempt*, which
+    identifies the asker and its attempt.
     """
     witnesses = sorted(
         (
@@ -141,7 +149,10 @@
             for entry in candidates
             if entry.answers_probes and entry.entry_id != holder
         ),
-        key=lambda entry_id: _rendezvous_weight(entry_id, attempt),
+        key=lambda entry_id: (
+            entry_id not in informed,
+            _rendezvous_weight(entry_id, attempt),
+        ),
     )
     return witnesses[:WITNESS_COUNT]
 
@@ -164,6 +175,21 @@
     return 2 * len(answers) >= asked or vacant_for >= ISOLATED_DELAY_MS
 
 
+def may_replace_answering(
+    status: HolderStatus,
+    vacant_for: int,
+) -> bool:
+    """
+    Return whether to replace a holder that no peer hears, but that answers.
+
+    It answered through the store, so it has not failed, but callers don't reach
+    it.  In a network of two halves each would replace the holder of the other
+    again and again, so a new holder is left alone for a while.
+    """
+    is_new = status.row['epoch'] > 1 and status.known_for < NEW_HOLDER_MS
+    return vacant_for >= ANSWERING_HOLDER_MS and not is_new
+
+
 def next_owner_row(current: Row, own: EntryVm) -> OwnerRow:
     """Return the row with which *own* takes over a domain from *current*."""
     epoch = 0
--- a/cyclamenshift/duties/scheduler.py
+++ b/cyclamenshift/duties/scheduler.py
@@ -81,6 +81,11 @@
             self.order_window.close(term.domain)
             self.directory.watch_workers(term.domain, wanted=False)
 
+    def is_able(self, domain: str) -> bool:
+        """Return whether most workers answer the scheduler of a service."""
+        scheduler = self.schedulers.get(domain)
+        return scheduler is not None and scheduler.reaches_workers()
+
     def dump(self) -> Dump:
         """Return a summary of each scheduler."""
         return {
--- a/cyclamenshift/duty.py
+++ b/cyclamenshift/duty.py
@@ -16,7 +16,7 @@
 
 from .component import Component
 from .directory import Catalog
-from .jobrows import OwnerRow, owner_key
+from .ownerrows import OwnerRow, owner_key
 from .store import Check, Conflict
 
 
@@ -119,6 +119,10 @@
     def domains(self, catalog: Catalog) -> Iterable[str]:
         """Return the domains that exist under *catalog*."""
 
+    def is_able(self, domain: str) -> bool:
+        """Return whether the duty reaches what it needs for *domain*."""
+        return True
+
     @abc.abstractmethod
     async def serve(self, term: OwnershipTerm) -> None:
         """Do the work of a domain until cancelled."""
--- a/cyclamenshift/jobrows.py
+++ b/cyclamenshift/jobrows.py
@@ -2,7 +2,7 @@
 cyclamenshift.jobrows
 =====================
 
-The rows of jobs, maintenances and owners of domains, and their keys.
+The rows of jobs and maintenances, and their keys.
 
 The partition of a row is its domain, that is a service or the fleet, so
 that a transaction on rows of a domain can check the row of its owner.
@@ -13,8 +13,6 @@
 from .job import Job, JobState
 from .store import Key
 
-#: The owner of each domain.
-OWNER_TABLE: Final = 'owner'
 #: The jobs as submitted by callers; each row is written once.
 JOB_TABLE: Final = 'job'
 #: The progress of each job; written only by the owner of its service.
@@ -27,19 +25,6 @@
 CANCEL_TABLE: Final = 'cancel'
 
 
-class OwnerRow(TypedDict):
-    """
-    ``owner/DOMAIN/holder``: the entry VM that owns a domain.
-
-    ``epoch`` increases with each new holder.  A domain is a service, or a
-    duty that exists once, such as managing the fleet.
-    """
-
-    holder: str
-    incarnation: str
-    epoch: int
-
-
 class JobRow(TypedDict):
     """``job/SERVICE/ID``: a job as it was submitted."""
 
@@ -115,11 +100,6 @@
     ages: dict[str, int]
 
 
-def owner_key(domain: str) -> Key:
-    """Return the key of the owner row of a domain."""
-    return Key(OWNER_TABLE, 'holder', domain)
-
-
 def job_key(service: str, job_id: str) -> Key:
     """Return the key of a job's row."""
     return Key(JOB_TABLE, job_id, service)
--- a/cyclamenshift/managing/state.py
+++ b/cyclamenshift/managing/state.py
@@ -18,7 +18,7 @@
 from ..duty import OwnershipTerm
 from ..fleetmessages import PoolReport
 from ..job import NO_RESOURCES
-from ..jobrows import OwnerRow
+from ..ownerrows import OwnerRow
 from ..logs import get_logger
 from ..provider import FencingToken, ProvidedVm, VmPhase, VmProvider
 from ..rows import decode_row
--- a/cyclamenshift/model.py
+++ b/cyclamenshift/model.py
@@ -113,7 +113,7 @@
 
     ``incarnation`` identifies one run of its process.  ``size`` is its CPU
     capacity in millicores.  ``answers_probes`` tells whether it knows the
-    message ``HolderQuery``.
+    message ``HolderQuery``, ``takes_pace`` whether it knows ``Pace``.
     """
 
     entry_id: str
@@ -123,6 +123,7 @@
     incarnation: str
     size: int = 1000
     answers_probes: bool = False
+    takes_pace: bool = False
 
 
 class Load(NamedTuple):
--- a/cyclamenshift/peer.py
+++ b/cyclamenshift/peer.py
@@ -10,10 +10,11 @@
 """
 
 import abc
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, ClassVar, Final, NamedTuple, TypeAlias, TypeVar
 
 from .component import Component
+from .decisions.heartbeats import Watch
 from .errors import PluginError
 
 #: The protocol version; peers of other versions are rejected.
@@ -36,11 +37,27 @@
 
 
 class Heartbeat(NamedTuple):
-    """A keep-alive message; it also carries the sender's status updates."""
+    """
+    A keep-alive message, which the accepting end answers with another.
+
+    Those of the accepting end also carry its status updates.
+    """
 
     updates: tuple[Payload, ...]
 
 
+class Pace(NamedTuple):
+    """
+    Asks the other end for a heartbeat each ``interval`` ms, 0 for none.
+
+    Until it is asked, the accepting end uses the interval of the settings, as
+    earlier versions expect.  Only an entry VM whose registration has
+    ``takes_pace`` knows this message.
+    """
+
+    interval: int
+
+
 class Call(NamedTuple):
     """A call, which is answered by a ``Reply`` with the same number."""
 
@@ -89,6 +106,7 @@
 Message: TypeAlias = (
     Hello
     | Heartbeat
+    | Pace
     | Call
     | Reply
     | CancelCall
@@ -154,9 +172,9 @@
         """
         Return the ids of the peers not known to be down or leaving.
 
-        A peer that has lost its connection counts as alive until
-        reconnecting fails, since a connection can be reset while both
-        processes are running.
+        A peer counts as alive until connecting to it fails: most are not
+        connected, and a connection can be reset while both processes are
+        running.
         """
 
     @abc.abstractmethod
@@ -168,6 +186,26 @@
         refused the last connection, since their process has ended.
         """
 
+    @abc.abstractmethod
+    def tried(self) -> set[str]:
+        """
+        Return the ids of the peers that were tried to be reached.
+
+        These are the connected ones, and those that could not be reached.
+        """
+
+    @abc.abstractmethod
+    def watch(self, watched: Mapping[str, Watch]) -> None:
+        """
+        Watch the peers in *watched*, and connect to others on demand.
+
+        Without this call all peers are watched closely.
+        """
+
+    @abc.abstractmethod
+    async def contact(self, entry_id: str, timeout: int) -> bool:
+        """Return whether a peer answers within *timeout* ms."""
+
     @abc.abstractmethod
     def last_heard(self, entry_id: str) -> int | None:
         """
@@ -186,7 +224,8 @@
         """
         Call a peer, or this entry VM itself, and return the reply.
 
-        Waits for the reply up to *timeout* ms.
+        Connects to the peer if necessary, and waits for the reply, together
+        up to *timeout* ms.
         """
 
     @abc.abstractmethod
@@ -194,7 +233,8 @@
         """
         Send a notification to a peer, or to this entry VM itself.
 
-        Returns whether there was a connection to send it on.
+        Connects to the peer if necessary.  Returns False if the peer is known
+        to be down.
         """
 
     @abc.abstractmethod
--- a/cyclamenshift/peers/connection.py
+++ b/cyclamenshift/peers/connection.py
@@ -2,7 +2,7 @@
 cyclamenshift.peers.connection
 ==============================
 
-A connection between two entry VMs, with message framing and a timeout.
+A connection between two entry VMs, with message framing.
 """
 
 from collections import deque
@@ -41,11 +41,11 @@
     """
     A bidirectional connection that sends and receives whole messages.
 
-    ``receive`` fails if nothing arrives within ``peers.silence``.  The peer
-    sends heartbeats more often than that, so a silent connection is lost.
-    ``silence_timeout_s`` may be raised for connections that decide nothing.
-    ``enqueue`` appends a message to the send queue; the task that runs
-    ``send_queued`` sends the queue in order.
+    ``receive`` waits without a limit; ``last_received_at`` is when data came
+    last, by which the heartbeat task finds lost connections.  It ends them by
+    ``abort``, as their tasks run within ``lifetime``.  ``enqueue`` appends a
+    message to the send queue; the task that runs ``send_queued`` sends the
+    queue in order.
     """
 
     def __init__(
@@ -58,8 +58,10 @@
         """Take ownership of *stream*; count its traffic in *load*."""
         self.stream = stream
         self.clock = clock
-        self.silence_timeout_s = settings['silence'] / MS_PER_SECOND
+        self.silence = settings['silence']
         self.last_received_at = clock.now()
+        self.lifetime = trio.CancelScope()
+        self.heartbeat_received = trio.Event()
         self.load = load
         self._decoder = Decoder(settings['frame_limit'])
         self._messages: Iterator[Message] = iter(())
@@ -84,8 +86,7 @@
         """
         Return the next message.
 
-        Raises TooSlowError after ``peers.silence`` without data, and
-        BrokenResourceError if the peer has closed the connection.
+        Raises BrokenResourceError if the peer has closed the connection.
         """
         while True:
             for message in self._messages:
@@ -94,8 +95,7 @@
                     _kind(message), self._decoder.frame_bytes
                 )
                 return message
-            with trio.fail_after(self.silence_timeout_s):
-                received = await self.stream.receive_some(RECEIVE_BYTES)
+            received = await self.stream.receive_some(RECEIVE_BYTES)
             if not received:
                 raise trio.BrokenResourceError('closed by the peer')
             self.last_received_at = self.clock.now()
@@ -124,9 +124,22 @@
     async def flush(self) -> None:
         """Wait until the queue is sent, at most for ``peers.silence``."""
         self._wakeup.set()
-        with trio.move_on_after(self.silence_timeout_s):
+        with self.clock.move_on_after(self.silence):
             await self._flushed.wait()
 
+    def mark_heartbeat(self) -> None:
+        """Wake the tasks that wait for a heartbeat."""
+        self.heartbeat_received.set()
+        self.heartbeat_received = trio.Event()
+
+    def silent_for(self) -> int:
+        """Return for how long no data has come, ms."""
+        return self.clock.now() - self.last_received_at
+
+    def abort(self) -> None:
+        """Cancel the tasks of the connection, which closes it."""
+        self.lifetime.cancel()
+
     def _encode(self, queued: tuple[int, Message]) -> bytes:
         _enqueued_at, message = queued
         frame = encode(message)
@@ -141,7 +154,7 @@
     async def _send(self, data: bytes) -> None:
         try:
             for start in range(0, len(data), SEND_CHUNK_BYTES):
-                with trio.fail_after(self.silence_timeout_s):
+                with trio.fail_after(self.silence / MS_PER_SECOND):
                     await self.stream.send_all(
                         data[start : start + SEND_CHUNK_BYTES],
                     )
--- a/cyclamenshift/peers/frames.py
+++ b/cyclamenshift/peers/frames.py
@@ -26,6 +26,7 @@
     LeavingAck,
     Message,
     Notification,
+    Pace,
     Payload,
     Reply,
 )
@@ -40,6 +41,7 @@
     CancelCall: 7,
     Leaving: 8,
     LeavingAck: 9,
+    Pace: 10,
 }
 
 _TYPES: Final = {tag: message_type for message_type, tag in TAGS.items()}
--- a/cyclamenshift/peers/inbound.py
+++ b/cyclamenshift/peers/inbound.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from ..clock import MS_PER_SECOND
 from ..peer import (
     Call,
     CancelCall,
@@ -19,16 +20,20 @@
     LeavingAck,
     Message,
     Notification,
+    Pace,
+    Payload,
     Reply,
+    Reporter,
 )
 from .connection import Connection, unexpected_message
 from .context import PeerContext
 
 
-#: How many times ``peers.silence`` an incoming connection may be silent.  The
-#: peer that opened it decides whether it is lost; closing it here would tell a
-#: peer with a slow path to this entry VM that this one is gone.
-SILENCE_FACTOR: Final = 3
+#: How long an incoming connection may be silent, ms.  The peer that opened it
+#: decides whether it is lost; closing it here would tell a peer with a slow
+#: path to this entry VM that this one is gone.  So this is only for peers whose
+#: hosts are lost, and longer than they keep idle connections.
+MAX_SILENCE_MS: Final = 30_000
 
 
 class InboundSession:
@@ -38,32 +43,34 @@
         """Serve *connection*; ``handshake`` comes first, then ``run``."""
         self.context = context
         self.connection = connection
-        self.connection.silence_timeout_s *= SILENCE_FACTOR
         self.entry_id = ''
         self.peer_process = ('', '')
         self.active_calls: dict[int, trio.CancelScope] = {}
         self.leaving_sent = False
         self.calls_ended = trio.Event()
         self.idle = trio.Event()
-        self.flush_requested = trio.Event()
+        self.reporters: list[Reporter] = []
+        self.interval = 0
+        self.sent_at = 0
 
     async def handshake(self) -> Hello:
         """Receive and return the ``Hello`` of the peer, and reply to it."""
-        hello = self.context.check_hello(
-            await self.connection.receive(),
-            None,
-        )
+        with trio.fail_after(self.connection.silence / MS_PER_SECOND):
+            received = await self.connection.receive()
+        hello = self.context.check_hello(received, None)
         self.entry_id = hello.entry_id
         self.peer_process = (hello.entry_id, hello.incarnation)
         self.context.inbound[self.peer_process] = self.connection
+        self.interval = self.context.settings['heartbeat']
         self.connection.enqueue(self.context.make_hello())
         return hello
 
     async def run(self) -> None:
         """Handle messages until the connection is lost."""
+        self.reporters = [factory() for factory in self.context.reporters]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.connection.send_queued)
-            nursery.start_soon(self._send_heartbeats)
+            self._send_heartbeat()
             if self.context.host.draining:
                 self.send_leaving()
             while True:
@@ -83,15 +90,36 @@
             await self.idle.wait()
         await self.connection.flush()
 
-    async def _send_heartbeats(self) -> None:
-        reporters = [factory() for factory in self.context.reporters]
-        while True:
-            self.flush_requested = trio.Event()
-            updates = [update for report in reporters for update in report()]
-            self.connection.enqueue(Heartbeat(tuple(updates)))
-            heartbeat = self.context.settings['heartbeat']
-            with self.context.clock.move_on_after(heartbeat):
-                await self.flush_requested.wait()
+    def pulse(self) -> int:
+        """
+        Send a heartbeat if one is due; return when to look again.
+
+        Ends the connection of a peer that is lost.
+        """
+        now = self.context.clock.now()
+        if self.connection.silent_for() > MAX_SILENCE_MS:
+            self.connection.abort()
+        if not self.interval:
+            return now + MAX_SILENCE_MS
+        if now >= self.sent_at + self.interval:
+            self._send_heartbeat()
+        return self.sent_at + self.interval
+
+    def forgive_silence(self) -> None:
+        """Nothing to do: only hosts that are lost are silent for so long."""
+
+    def flush_updates(self) -> None:
+        """Send the status updates that are due, if there are any."""
+        updates = self._updates()
+        if updates:
+            self.connection.enqueue(Heartbeat(updates))
+
+    def _updates(self) -> tuple[Payload, ...]:
+        return tuple(update for report in self.reporters for update in report())
+
+    def _send_heartbeat(self) -> None:
+        self.sent_at = self.context.clock.now()
+        self.connection.enqueue(Heartbeat(self._updates()))
 
     @singledispatchmethod
     def _on_message(self, message: Message, nursery: trio.Nursery) -> None:
@@ -103,7 +131,11 @@
         message: Heartbeat,
         nursery: trio.Nursery,
     ) -> None:
-        """Nothing to do: receiving it has reset the silence timeout."""
+        self._send_heartbeat()
+
+    @_on_message.register
+    def _on_pace(self, message: Pace, nursery: trio.Nursery) -> None:
+        self.interval = message.interval
 
     @_on_message.register
     def _on_call(self, message: Call, nursery: trio.Nursery) -> None:
--- a/cyclamenshift/peers/link.py
+++ b/cyclamenshift/peers/link.py
@@ -2,107 +2,121 @@
 cyclamenshift.peers.link
 ========================
 
-The outgoing side: one task for each peer, which reconnects to it.
+The outgoing side: one task for each peer whose connection is needed.
 """
 
-import itertools
+from collections import deque
 from collections.abc import Awaitable, Callable
-from functools import singledispatchmethod
-from typing import TypeAlias
+from functools import singledispatch
+from typing import Final, TypeAlias
 
 import trio
 from trio.abc import Stream
 
 from ..clock import MS_PER_SECOND
+from ..decisions.heartbeats import Pulse, Watch
 from ..errors import ProtocolError
 from ..model import EntryVm
 from ..peer import (
-    Call,
-    CancelCall,
     Heartbeat,
     Leaving,
     LeavingAck,
     Message,
     NoReply,
     Notification,
+    Pace,
     Payload,
     Reply,
 )
+from .attempts import Attempts
+from .calls import CONNECTION_LOST, NOT_CONNECTED, TIMED_OUT, PendingCalls
 from .connection import CONNECTION_ERRORS, Connection, unexpected_message
 from .context import PeerContext
+from .keepalive import Keepalive
 
-#: The delay between failed attempts to connect, ms.
-RECONNECT_DELAY_MS = 200
-
-#: Time limit for opening a connection, ms.
-CONNECT_TIMEOUT_MS = 500
+#: The range of the delay between failed attempts to connect, ms.  A host that
+#: is back ends the delay by its own connection to this one.
+MIN_RETRY_DELAY_MS: Final = 200
+MAX_RETRY_DELAY_MS: Final = 1_600
 
+#: Time limit for opening a connection, ms; it is part of the time after which a
+#: lost owner is replaced.
+CONNECT_TIMEOUT_MS: Final = 500
 #: Opens a stream to a peer; raises OSError.
 OpenStream: TypeAlias = Callable[[EntryVm], Awaitable[Stream]]
 
-NOT_CONNECTED = NoReply(sent=False, reason='not connected')
-CONNECTION_LOST = NoReply(sent=True, reason='connection lost')
-TIMED_OUT = NoReply(sent=True, reason='no reply in time')
-
-
-class PendingCall:
-    """A call and its reply, once it has arrived."""
-
-    def __init__(self) -> None:
-        """Start without a reply."""
-        self.reply: Payload | NoReply = TIMED_OUT
-        self.settled = trio.Event()
-
-    def settle(self, reply: Payload | NoReply) -> None:
-        """Set the reply and wake the caller that waits for it."""
-        self.reply = reply
-        self.settled.set()
-
 
 class Link:
-    """The outgoing connection to one peer, which is reopened when lost."""
+    """The outgoing connection to one peer, open while it is needed."""
 
     def __init__(
         self,
         context: PeerContext,
         entry: EntryVm,
         open_stream: OpenStream,
+        start: Callable[['Link'], None],
     ) -> None:
-        """Start unconnected; ``run`` connects."""
+        """Start unconnected; *start* runs the task that connects."""
         self.context = context
         self.clock = context.clock
         self.entry = entry
         self.open_stream = open_stream
+        self.start = start
         self.connection: Connection | None = None
-        self.pending_calls: dict[int, PendingCall] = {}
-        self.call_numbers = itertools.count(1)
+        self.calls = PendingCalls()
+        self.outbox: deque[Payload] = deque()
+        self.attempts = Attempts(context.clock)
+        self.keepalive = Keepalive(
+            context.clock, context.settings, answers_pace=entry.takes_pace
+        )
         self.leaving = False
         self.retired = False
-        self.lost_connections = 0
-        self.alive = False
-        self.refused = False
 
     @property
     def usable(self) -> bool:
         """Whether the peer accepts calls now."""
         return self.connection is not None and not self.leaving
 
+    @property
+    def alive(self) -> bool:
+        """
+        Whether the peer is not known to be down.
+
+        It is alive until an attempt to connect is refused, or fails while
+        nothing comes on its own connection either.
+        """
+        return not self.attempts.failed_lately or self._is_heard()
+
     async def run(self) -> None:
         """
-        Connect, and reconnect whenever the connection is lost.
+        Connect, and reconnect while the connection is needed.
 
         The first attempt after a loss is made at once; while attempts fail,
-        they are repeated with a delay.  The peer is alive until an attempt is
-        refused, or fails while nothing comes on its own connection either.
+        they are repeated with a growing delay.
         """
-        while not self.retired:
-            was_connected = await self._connect_once()
-            if was_connected:
+        delay = MIN_RETRY_DELAY_MS
+        while self._is_needed():
+            self.attempts.begin()
+            if await self._connect_once():
+                delay = MIN_RETRY_DELAY_MS
                 continue
-            if self.alive and not self._is_heard():
-                self.alive = False
-                self.context.notify_watchers(self.entry.entry_id)
-            await self.clock.sleep(RECONNECT_DELAY_MS)
+            self.attempts.fail()
+            self.outbox.clear()
+            self.context.notify_watchers(self.entry.entry_id)
+            await self.attempts.wait_for_retry(delay)
+            delay = min(delay * 2, MAX_RETRY_DELAY_MS)
+        self.attempts.running = False
+        self.attempts.ended.set()
+
+    def adjust_watch(self, watch: Watch) -> None:
+        """Watch the peer as *watch* tells, and connect if it is watched."""
+        if watch is self.keepalive.watch:
+            return
+        self.keepalive.watch = watch
+        self.keepalive.expect_data()
+        self._send_pace()
+        if watch is not Watch.unwatched:
+            self._ensure_running()
 
     def retire(self) -> None:
         """Stop sending calls; ``run`` returns once the connection ends."""
@@ -122,61 +136,124 @@
             default=None,
         )
 
+    async def open(self) -> bool:
+        """Connect if necessary; return whether there is a connection."""
+        self.keepalive.use()
+        if self.connection is None and not self.attempts.failing:
+            self._ensure_running()
+            await self.attempts.ended.wait()
+        return self.connection is not None
+
     async def call(self, payload: Payload, timeout: int) -> Payload | NoReply:
         """Send a call and return the reply, waiting up to *timeout* ms."""
-        connection = self.connection
-        if connection is None or self.leaving:
+        if self.leaving:
             return NOT_CONNECTED
-        number = next(self.call_numbers)
-        call = PendingCall()
-        self.pending_calls[number] = call
-        connection.enqueue(Call(number, payload))
-        try:
-            with self.clock.move_on_after(timeout):
-                await call.settled.wait()
-        finally:
-            if self.pending_calls.pop(number, None):
-                connection.enqueue(CancelCall(number))
-        return call.reply
+        reply: Payload | NoReply = NOT_CONNECTED
+        with self.clock.move_on_after(timeout):
+            if await self.open() and self.connection:
+                reply = TIMED_OUT
+                if not self.calls.by_number:
+                    self.keepalive.expect_data()
+                reply = await self.calls.exchange(self.connection, payload)
+        return reply
 
     def notify(self, payload: Payload) -> bool:
-        """Send a notification; return whether there is a connection."""
-        if self.connection is None:
+        """
+        Send a notification, as soon as there is a connection.
+
+        Returns False if the peer is known to be down.
+        """
+        if self.connection:
+            self.connection.enqueue(Notification(payload))
+        elif self.attempts.failing or self.leaving:
             return False
-        self.connection.enqueue(Notification(payload))
+        else:
+            self.outbox.append(payload)
+            self._ensure_running()
+        self.keepalive.use()
         return True
 
+    async def contact(self, timeout: int) -> bool:
+        """Return whether the peer answers a heartbeat within *timeout* ms."""
+        with self.clock.move_on_after(timeout):
+            if await self.open() and self.connection:
+                self.connection.enqueue(Heartbeat(()))
+                await self.connection.heartbeat_received.wait()
+                return True
+        return False
+
+    def pulse(self) -> int:
+        """
+        Do what is due on the connection; return when to look again.
+
+        Sends a heartbeat, or ends a connection that is lost or not needed.
+        """
+        connection = self.connection
+        if connection is None:
+            return self.clock.now() + self.keepalive.intervals.heartbeat
+        pulse, at = self.keepalive.next_pulse(
+            connection, calling=bool(self.calls.by_number)
+        )
+        if pulse is Pulse.heartbeat:
+            self.keepalive.record_heartbeat()
+            connection.enqueue(Heartbeat(()))
+        elif pulse in {Pulse.lost, Pulse.idle}:
+            connection.abort()
+        return at
+
+    def forgive_silence(self) -> None:
+        """Count the silence of the peer from now on."""
+        self.keepalive.expect_data()
+
+    def _is_needed(self) -> bool:
+        in_use = self.keepalive.needed or self.outbox or self.calls.by_number
+        return bool(in_use) and not self.retired
+
+    def _ensure_running(self) -> None:
+        if not self.attempts.running and not self.retired:
+            self.attempts.running = True
+            self.attempts.begin()
+            self.start(self)
+
+    def _send_pace(self) -> None:
+        """Ask the peer for the heartbeats that the watch needs."""
+        if self.connection and self.entry.takes_pace:
+            self.connection.enqueue(Pace(self.keepalive.pace))
+
+    def _request_heartbeats(self, interval: int) -> None:
+        """Ask for heartbeats on the peer's own connection, if it has one."""
+        process = (self.entry.entry_id, self.entry.incarnation)
+        inbound = self.context.inbound.get(process)
+        if inbound and self.entry.takes_pace:
+            inbound.enqueue(Pace(interval))
+
     async def _connect_once(self) -> bool:
         """Open and use one connection; return whether it was established."""
-        lost_before = self.lost_connections
         try:
             with trio.fail_after(CONNECT_TIMEOUT_MS / MS_PER_SECOND):
                 stream = await self.open_stream(self.entry)
         except (OSError, trio.TooSlowError) as error:
-            self.refused = isinstance(error, ConnectionRefusedError)
+            refused = isinstance(error, ConnectionRefusedError)
+            self.attempts.refused = refused
             return False
-        self.refused = False
         await self._run_connection(stream)
-        return self.lost_connections > lost_before
+        return self.attempts.connected
 
     def _is_heard(self) -> bool:
         heard_at = self.last_heard()
-        if self.refused or heard_at is None:
+        if self.attempts.refused or heard_at is None:
             return False
         silent_ms = self.clock.now() - heard_at
-        return silent_ms < self.context.settings['silence']
+        return silent_ms < self.keepalive.intervals.silence
 
     async def _run_connection(self, stream: Stream) -> None:
         connection = self.context.make_connection(stream)
         try:
-            async with connection:
-                await self._process_messages(connection)
+            with connection.lifetime:
+                async with connection:
+                    await self._process_messages(connection)
         except* CONNECTION_ERRORS:
-            self.context.log.note(
-                'Lost a peer.',
-                peer=self.entry.entry_id,
-                silent_ms=self.clock.now() - connection.last_received_at,
-            )
+            self.context.log.debug('The connection to a peer has ended.')
         except* ProtocolError as errors:
             for error in errors.exceptions:
                 self.context.log.error(
@@ -185,65 +262,81 @@
                     problem=str(error),
                 )
         finally:
-            self._on_connection_lost()
+            self._on_connection_lost(connection)
 
     async def _process_messages(self, connection: Connection) -> None:
         connection.enqueue(self.context.make_hello())
         async with trio.open_nursery() as nursery:
             nursery.start_soon(connection.send_queued)
-            self.context.check_hello(
-                await connection.receive(),
-                self.entry,
-            )
-            self.connection = connection
-            self.alive = True
-            self.leaving = self.retired
-            self.context.log.note(
-                'Connected to a peer.',
-                peer=self.entry.entry_id,
-            )
-            self.context.notify_watchers(self.entry.entry_id)
-            nursery.start_soon(self._send_heartbeats, connection)
+            with trio.fail_after(connection.silence / MS_PER_SECOND):
+                hello = await connection.receive()
+            self.context.check_hello(hello, self.entry)
+            self._on_connected(connection)
             while True:
-                self._on_message(await connection.receive())
-
-    async def _send_heartbeats(self, connection: Connection) -> None:
-        while True:
-            connection.enqueue(Heartbeat(()))
-            await self.clock.sleep(self.context.settings['heartbeat'])
+                _receive(await connection.receive(), self)
+
+    def _on_connected(self, connection: Connection) -> None:
+        self.connection = connection
+        self.leaving = self.retired
+        self.keepalive.restart()
+        self._send_pace()
+        self._request_heartbeats(0)
+        while self.outbox:
+            connection.enqueue(Notification(self.outbox.popleft()))
+        self.attempts.succeed()
+        self.context.log.note(
+            'Connected to a peer.',
+            peer=self.entry.entry_id,
+            watch=self.keepalive.watch.name,
+        )
+        self.context.notify_watchers(self.entry.entry_id)
 
-    def _on_connection_lost(self) -> None:
+    def _on_connection_lost(self, connection: Connection) -> None:
         if self.connection is None:
             return
         self.connection = None
-        self.lost_connections += 1
-        for call in self.pending_calls.values():
-            call.settle(CONNECTION_LOST)
-        self.pending_calls.clear()
+        is_needed = self._is_needed()
+        self.calls.settle_all(CONNECTION_LOST)
+        if is_needed:
+            self.attempts.lost_connections += 1
+            self._request_heartbeats(self.keepalive.intervals.heartbeat)
+            self.context.log.note(
+                'Lost a peer.',
+                peer=self.entry.entry_id,
+                silent_ms=connection.silent_for(),
+            )
         self.context.notify_watchers(self.entry.entry_id)
 
-    @singledispatchmethod
-    def _on_message(self, message: Message) -> None:
-        raise unexpected_message(message)
 
-    @_on_message.register
-    def _on_reply(self, message: Reply) -> None:
-        call = self.pending_calls.pop(message.number, None)
-        if call is None:
-            late = self.context.host.metrics.late_answers
-            late.inc({'from': self.entry.entry_id})
-        else:
-            call.settle(message.payload)
+@singledispatch
+def _receive(message: Message, link: Link) -> None:
+    raise unexpected_message(message)
 
-    @_on_message.register
-    def _on_heartbeat(self, message: Heartbeat) -> None:
-        for payload in message.updates:
-            self.context.dispatch_payload(self.entry.entry_id, payload)
 
-    @_on_message.register
-    def _on_leaving(self, message: Leaving) -> None:
-        self.leaving = True
-        if self.connection:
-            self.connection.enqueue(LeavingAck())
-        self.context.log.note('A peer is leaving.', peer=self.entry.entry_id)
-        self.context.notify_watchers(self.entry.entry_id)
+@_receive.register
+def _receive_reply(message: Reply, link: Link) -> None:
+    if not link.calls.settle(message.number, message.payload):
+        late = link.context.host.metrics.late_answers
+        late.inc({'from': link.entry.entry_id})
+
+
+@_receive.register
+def _receive_heartbeat(message: Heartbeat, link: Link) -> None:
+    for payload in message.updates:
+        link.context.dispatch_payload(link.entry.entry_id, payload)
+    if link.connection:
+        link.connection.mark_heartbeat()
+
+
+@_receive.register
+def _receive_pace(message: Pace, link: Link) -> None:
+    link.keepalive.requested = message.interval
+
+
+@_receive.register
+def _receive_leaving(message: Leaving, link: Link) -> None:
+    link.leaving = True
+    if link.connection:
+        link.connection.enqueue(LeavingAck())
+    link.context.log.note('A peer is leaving.', peer=link.entry.entry_id)
+    link.context.notify_watchers(link.entry.entry_id)
--- a/cyclamenshift/peers/stream.py
+++ b/cyclamenshift/peers/stream.py
@@ -4,11 +4,12 @@
 
 Peer messages over TCP, with one task for each peer and each connection.
 
-Every entry VM connects to every other one.  On the connection that it opened
-it sends its calls and receives the replies and the status updates.
+An entry VM connects to the peers that it watches, and to others while it has
+something to send.  On the connection that it opened it sends its calls and
+receives the replies and the status updates.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 
 import trio
@@ -16,14 +17,18 @@
 
 from ..component import Dump, Host
 from ..controls.membership import Membership
+from ..decisions.heartbeats import Watch
 from ..errors import ProtocolError, StartError
 from ..model import EntryVm
 from ..peer import CallHandler, Listener, NoReply, Payload, Peer, Reporter
 from ..plugin import register
+from .calls import NOT_CONNECTED, TIMED_OUT
 from .connection import CONNECTION_ERRORS, KIND_PREFIX
 from .context import PeerContext
 from .inbound import InboundSession
-from .link import NOT_CONNECTED, TIMED_OUT, Link
+from .keepalive import send_heartbeats
+from .link import Link
+from .links import LinkTable
 
 
 @register
@@ -38,18 +43,30 @@
         self.settings = kernel.settings['peers']
         self.membership = kernel.get(Membership)
         self.context = PeerContext(kernel, self.membership.own, self.log)
-        self.links: dict[str, Link] = {}
+        self.table = LinkTable(self.context, self.open_stream)
         self.sessions: set[InboundSession] = set()
 
+    @property
+    def links(self) -> Mapping[str, Link]:
+        """The links to the registered peers by id."""
+        return self.table.by_id
+
     async def run(
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Listen, and run one task for each registered peer."""
+        """Listen, and run one task for each peer that is connected."""
         async with trio.open_nursery() as nursery:
             await self.listen(nursery)
             task_status.started()
-            await self._track_members(nursery)
+            nursery.start_soon(
+                send_heartbeats,
+                self.clock,
+                self.settings['heartbeat'],
+                self.links,
+                self.sessions,
+            )
+            await self.table.track(self.membership, nursery)
 
     async def listen(self, nursery: trio.Nursery) -> None:
         """
@@ -86,13 +103,10 @@
         session = InboundSession(self.context, connection)
         self.sessions.add(session)
         try:
-            async with connection:
-                hello = await session.handshake()
-                self.membership.refresh_if_unknown(
-                    hello.entry_id,
-                    hello.incarnation,
-                )
-                await session.run()
+            with connection.lifetime:
+                async with connection:
+                    await self._greet(session)
+                    await session.run()
         except* CONNECTION_ERRORS:
             self.log.debug('The connection from a peer has ended.')
         except* ProtocolError as errors:
@@ -135,9 +149,26 @@
         return {
             entry_id
             for entry_id, link in self.links.items()
-            if link.connection or link.refused
+            if link.connection or link.attempts.refused
+        }
+
+    def tried(self) -> set[str]:
+        """Return the ids of the peers that were tried to be reached."""
+        return {
+            entry_id
+            for entry_id, link in self.links.items()
+            if link.connection or link.attempts.failed_lately
         }
 
+    def watch(self, watched: Mapping[str, Watch]) -> None:
+        """Watch the peers in *watched*, and connect to others on demand."""
+        self.table.watch(watched)
+
+    async def contact(self, entry_id: str, timeout: int) -> bool:
+        """Return whether a peer answers within *timeout* ms."""
+        link = self.links.get(entry_id)
+        return await link.contact(timeout) if link else False
+
     def last_heard(self, entry_id: str) -> int | None:
         """Return when data last came from a peer, monotonic ms."""
         link = self.links.get(entry_id)
@@ -151,7 +182,7 @@
     ) -> Payload | NoReply:
         """Call a peer, or this entry VM itself, and return the reply."""
         if entry_id == self.membership.own.entry_id:
-            return await self._call_self(payload, timeout)
+            return await _call_self(self.context, payload, timeout)
         link = self.links.get(entry_id)
         return await link.call(payload, timeout) if link else NOT_CONNECTED
 
@@ -188,7 +219,7 @@
     def flush_updates(self) -> None:
         """Send the status updates now instead of at the next heartbeat."""
         for session in self.sessions:
-            session.flush_requested.set()
+            session.flush_updates()
 
     def dump(self) -> Dump:
         """Return the state of each peer's connection and its open calls."""
@@ -197,8 +228,9 @@
             entry_id: {
                 'connected': link.connection is not None,
                 'leaving': link.leaving,
-                'calls': len(link.pending_calls),
-                'lost_connections': link.lost_connections,
+                'calls': len(link.calls.by_number),
+                'lost_connections': link.attempts.lost_connections,
+                'watch': link.keepalive.watch.name,
                 'heard_ms_ago': (
                     now - link.connection.last_received_at
                     if link.connection
@@ -215,35 +247,24 @@
         )
         return {'bytes_sent': bytes_sent, 'peers': peers}
 
-    async def _call_self(
-        self,
-        payload: Payload,
-        timeout: int,
-    ) -> Payload | NoReply:
-        call_handler = self.context.get_call_handler(payload)
-        reply: Payload | NoReply = TIMED_OUT
-        with self.clock.move_on_after(timeout):
-            reply = await call_handler(self.membership.own.entry_id, payload)
-        return reply
-
-    async def _track_members(self, nursery: trio.Nursery) -> None:
-        links: dict[EntryVm, Link] = {}
-        while True:
-            changed = self.membership.changed
-            members = set(self.membership.registered.values())
-            for removed in links.keys() - members:
-                links.pop(removed).retire()
-            for added in members - links.keys():
-                links[added] = Link(self.context, added, self.open_stream)
-                nursery.start_soon(self._run_link, links[added])
-            await changed.wait()
-
-    async def _run_link(self, link: Link) -> None:
-        entry_id = link.entry.entry_id
-        self.links[entry_id] = link
-        await link.run()
-        if self.links.get(entry_id) is link:
-            self.links.pop(entry_id)
+    async def _greet(self, session: InboundSession) -> None:
+        hello = await session.handshake()
+        self.membership.refresh_if_unknown(hello.entry_id, hello.incarnation)
+        link = self.table.find(hello.entry_id, hello.incarnation)
+        if link:
+            link.attempts.retry.set()
+
+
+async def _call_self(
+    context: PeerContext,
+    payload: Payload,
+    timeout: int,
+) -> Payload | NoReply:
+    call_handler = context.get_call_handler(payload)
+    reply: Payload | NoReply = TIMED_OUT
+    with context.clock.move_on_after(timeout):
+        reply = await call_handler(context.own.entry_id, payload)
+    return reply
 
 
 def _is_refused(cause: BaseException | None) -> bool:
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -114,6 +114,16 @@
             for attempt in attempts_by_run.values()
         )
 
+    def reaches_workers(self) -> bool:
+        """Return whether at least half of the workers with runs answer."""
+        used = [
+            session
+            for session in self.state.sessions.values()
+            if self.state.has_runs(session)
+        ]
+        silent = sum(1 for session in used if session.misses)
+        return 2 * silent <= len(used)
+
     async def vacate(self, vm_id: str, wait: int) -> bool:
         """Vacate a VM within *wait* ms; return whether it is empty."""
         return await vacate(self.state, vm_id, wait)
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -17,7 +17,7 @@
 from ..decisions.tracker import JobTracker, ReportResult
 from ..duty import OwnershipTerm
 from ..job import RunEnd, RunId
-from ..jobrows import OwnerRow
+from ..ownerrows import OwnerRow
 from ..logs import get_logger
 from ..rows import decode_row
 from ..store import StoreClient, Unavailable, get_store_client
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -9,11 +9,13 @@
 """
 
 import json
+from collections.abc import Collection
 from typing import Any, cast
 
 from cyclamenshift import settings
 from cyclamenshift.decisions.lending import PoolView
 from cyclamenshift.decisions.merging import Document
+from cyclamenshift.decisions.watching import PeerView
 from cyclamenshift.directory import Catalog, Queue, Service
 from cyclamenshift.http1 import Address
 from cyclamenshift.job import NO_RESOURCES, Job, Resources, Step
@@ -53,6 +55,29 @@
     return EntryVm(**(values | overrides))
 
 
+def peer_view(
+    count: int,
+    own: int = 0,
+    down: Collection[str] = (),
+    vacant: Collection[str] = (),
+) -> PeerView:
+    """
+    Return the view of one of *count* entry VMs, of which one is larger.
+
+    The first two own the domains ``desk`` and ``billing``.
+    """
+    ids = [f'entry-{number}' for number in range(count)]
+    members = {entry_id: entry_vm(entry_id, size=500) for entry_id in ids}
+    members['entry-2'] = entry_vm('entry-2', size=2_000)
+    return PeerView(
+        own=members[f'entry-{own}'],
+        members=members,
+        down=down,
+        holders={'desk': 'entry-0', 'billing': 'entry-1'},
+        vacant=vacant,
+    )
+
+
 def load(**overrides: Any) -> Load:
     """Return the load of an idle pool with one worker."""
     values: dict[str, Any] = {
