--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Tasks that are done run again after a queue was removed and added."""
+"""A job that a caller was told is not accepted is run all the same."""
 
 import asyncio
 import pathlib
@@ -8,39 +8,28 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from standins.fleet import Entry, Fleet, run_case  # noqa: E402
-from standins.workers import Plan, Worker  # noqa: E402
+from standins.workers import Plan  # noqa: E402
 
 SERVICE = 'gate-desk'
-#: The queue that is removed and added again, and one that stays.
 QUEUE = 'gate-check'
-OTHER_QUEUE = 'payout-settle'
-WORKERS = 2
-JOB = '5' * 16
-STEP = {'count': 4, 'cpu': 1_000, 'memMb': 500, 'estimateMs': 2_000}
-TASK_S = 2.0
-#: The jobs of the other queue, two a second.
-OTHER_STEP = {'count': 4, 'cpu': 1_000, 'memMb': 500, 'estimateMs': 500}
-OTHER_TASK_S = 0.5
-OTHER_INTERVAL_S = 0.5
-#: When the queue is removed, the owner stands still and the queue is added,
-#: s after the job was handed in, and for how long the owner does so.
-REMOVE_AT_S = 0.5
-FREEZE_AT_S = 1.4
-FREEZE_S = 4.0
-ADD_AT_S = 14.0
-END_AT_S = 26.0
+WORKERS = 4
+JOB = f'{7:016x}'
+STEP = {'count': 2, 'cpu': 1_000, 'memMb': 500, 'estimateMs': 500}
+#: How long the store is down, s; the site has 4.5 s.
+OUTAGE_S = 4.5
+#: How long after its beginning the owner's process is killed, s.
+KILL_AFTER_S = 0.3
+#: How long a killed process is away, s; the site has 3.5 s.
+RESTART_S = 1.0
+#: How long the system has to start the job, s.
+START_S = 15.0
 
 
 async def case(fleet: Fleet) -> int:
-    """Return whether a task starts after its end was taken note of."""
-
-    def plan_of(worker: Worker, task: str) -> Plan:
-        return Plan(TASK_S if task.startswith(JOB) else OTHER_TASK_S)
-
-    fleet.plan_of = plan_of
+    """Return whether a task starts though all attempts were rejected."""
+    fleet.plan_of = lambda worker, task: Plan(0.5)
     fleet.add_service(SERVICE)
     fleet.add_route(QUEUE, SERVICE)
-    fleet.add_route(OTHER_QUEUE, SERVICE)
     fleet.configure()
     for number in range(WORKERS):
         await fleet.add_worker(f'w{number}', SERVICE)
@@ -50,54 +39,50 @@
         return 2
     owner = fleet.entries[fleet.owner_of(SERVICE)]
     other = next(each for each in fleet.entries.values() if each is not owner)
-    fleet.record.note('owner', entry=owner.name)
-    traffic = asyncio.create_task(submit_others(fleet, other))
-    await asyncio.sleep(1)
-    await fleet.submit(other, QUEUE, JOB, [STEP])
-    await change(fleet, owner)
-    traffic.cancel()
+    fleet.record.note('owner', entry=owner.name, sent_to=other.name)
+    trouble = asyncio.create_task(fail(fleet, owner))
+    reply = await fleet.submit(other, QUEUE, JOB, [STEP])
+    await trouble
+    await asyncio.sleep(START_S)
     await fleet.state_of(other, QUEUE, JOB)
-    again = [
-        text
-        for text in fleet.record.started_after_done()
-        if text.startswith(JOB)
-    ]
-    for text in again:
-        fleet.record.note('RUN AGAIN', what=text)
-    return 1 if again else 0
-
-
-async def change(fleet: Fleet, owner: Entry) -> None:
-    """Remove the queue, freeze the owner, and add the queue again."""
-    started = fleet.record.now()
-
-    async def wait_until(moment: float) -> None:
-        await asyncio.sleep(max(0, started + moment - fleet.record.now()))
-
-    await wait_until(REMOVE_AT_S)
-    route = fleet.routes.pop(QUEUE)
-    fleet.configure()
-    await wait_until(FREEZE_AT_S)
-    if fleet.trouble:
-        owner.signal(signal.SIGSTOP)
-        fleet.record.note('stopped', entry=owner.name)
-    await wait_until(FREEZE_AT_S + FREEZE_S)
-    if fleet.trouble:
-        owner.signal(signal.SIGCONT)
-        fleet.record.note('continued', entry=owner.name)
-    await wait_until(ADD_AT_S)
-    fleet.routes[QUEUE] = route
-    fleet.configure()
-    await wait_until(END_AT_S)
-
-
-async def submit_others(fleet: Fleet, entry: Entry) -> None:
-    """Hand jobs in at the queue that stays, until cancelled."""
-    number = 0
-    while True:
-        number += 1
-        await fleet.submit(entry, OTHER_QUEUE, f'{number:016x}', [OTHER_STEP])
-        await asyncio.sleep(OTHER_INTERVAL_S)
+    starts = [task for task in fleet.record.starts if task.startswith(JOB)]
+    fleet.record.note('result', answer=reply.status, started=starts)
+    rejected = reply.status in {429, 503}
+    return 1 if rejected and starts else 0
+
+
+async def fail(fleet: Fleet, owner: Entry) -> None:
+    """
+    Let the store fail as it writes the job, and kill the owner meanwhile.
+
+    The write is done, and its answer is lost with its connection.
+    """
+    written = asyncio.Event()
+
+    def on_write(keys: set[tuple[str, str, str]]) -> None:
+        if ('job', SERVICE, JOB) in keys and not written.is_set():
+            written.set()
+            if fleet.trouble:
+                set_store_down(fleet, down=True)
+
+    fleet.store.on_write.append(on_write)
+    if not fleet.trouble:
+        return
+    await written.wait()
+    await asyncio.sleep(KILL_AFTER_S)
+    owner.signal(signal.SIGKILL)
+    fleet.record.note('killed', entry=owner.name)
+    await asyncio.sleep(RESTART_S)
+    fleet.launch(owner)
+    await asyncio.sleep(OUTAGE_S - RESTART_S - KILL_AFTER_S)
+    set_store_down(fleet, down=False)
+
+
+def set_store_down(fleet: Fleet, *, down: bool) -> None:
+    """Let the store refuse all calls with 503, or answer them again."""
+    fleet.record.note('store down' if down else 'store up')
+    for entry in fleet.entries.values():
+        entry.path.refuse = down
 
 
 if __name__ == '__main__':
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,102 +1,105 @@
-"""Innocent jobs on a worker that goes down and up by turns."""
+"""Tasks that are done run again after a queue was removed and added."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from standins.fleet import Fleet, run_case  # noqa: E402
-from standins.workers import Plan  # noqa: E402
+from standins.fleet import Entry, Fleet, run_case  # noqa: E402
+from standins.workers import Plan, Worker  # noqa: E402
 
-#: Ten workers, of which a tenth goes down and up: one.
-WORKERS = 10
-PERIOD_S = 0.82
-FLAP_S = 5.0
-#: The jobs of a rush that the pool needs some seconds for.
-JOBS = 40
-TASKS = 8
-TASK = {'cpu': 8_000, 'memMb': 4_000, 'estimateMs': 1_100}
-TASK_S = 1.1
-#: How long to wait for the last job, s.
-FINISH_S = 60
+SERVICE = 'gate-desk'
+#: The queue that is removed and added again, and one that stays.
+QUEUE = 'gate-check'
+OTHER_QUEUE = 'payout-settle'
+WORKERS = 2
+JOB = '5' * 16
+STEP = {'count': 4, 'cpu': 1_000, 'memMb': 500, 'estimateMs': 2_000}
+TASK_S = 2.0
+#: The jobs of the other queue, two a second.
+OTHER_STEP = {'count': 4, 'cpu': 1_000, 'memMb': 500, 'estimateMs': 500}
+OTHER_TASK_S = 0.5
+OTHER_INTERVAL_S = 0.5
+#: When the queue is removed, the owner stands still and the queue is added,
+#: s after the job was handed in, and for how long the owner does so.
+REMOVE_AT_S = 0.5
+FREEZE_AT_S = 1.4
+FREEZE_S = 4.0
+ADD_AT_S = 14.0
+END_AT_S = 26.0
 
 
 async def case(fleet: Fleet) -> int:
-    """Return whether a job is shown as failed though no run has failed."""
-    fleet.plan_of = lambda worker, task: Plan(TASK_S)
-    fleet.add_service('gate-desk')
-    fleet.add_route('gate-check', 'gate-desk')
+    """Return whether a task starts after its end was taken note of."""
+
+    def plan_of(worker: Worker, task: str) -> Plan:
+        return Plan(TASK_S if task.startswith(JOB) else OTHER_TASK_S)
+
+    fleet.plan_of = plan_of
+    fleet.add_service(SERVICE)
+    fleet.add_route(QUEUE, SERVICE)
+    fleet.add_route(OTHER_QUEUE, SERVICE)
     fleet.configure()
     for number in range(WORKERS):
-        await fleet.add_worker(f'w{number}', 'gate-desk')
+        await fleet.add_worker(f'w{number}', SERVICE)
     for number in range(3):
         await fleet.add_entry(f'front-{number}')
     if not await fleet.wait_until_ready():
         return 2
-    jobs = [f'{number:016x}' for number in range(1, JOBS + 1)]
-    flapping = asyncio.create_task(flap(fleet))
-    accepted = await submit(fleet, jobs)
-    await flapping
-    states = await wait_for_ends(fleet, accepted)
-    fleet.record.note('states', states=sorted(set(states.values())))
-    wrong = [
-        job
-        for job, state in states.items()
-        if state == 'failed'
-        and not any(task.startswith(job) for task in fleet.record.failed)
+    owner = fleet.entries[fleet.owner_of(SERVICE)]
+    other = next(each for each in fleet.entries.values() if each is not owner)
+    fleet.record.note('owner', entry=owner.name)
+    traffic = asyncio.create_task(submit_others(fleet, other))
+    await asyncio.sleep(1)
+    await fleet.submit(other, QUEUE, JOB, [STEP])
+    await change(fleet, owner)
+    traffic.cancel()
+    await fleet.state_of(other, QUEUE, JOB)
+    again = [
+        text
+        for text in fleet.record.started_after_done()
+        if text.startswith(JOB)
     ]
-    fleet.record.note('failed without a failed run', jobs=wrong)
-    if any(state not in {'completed', 'failed'} for state in states.values()):
-        fleet.record.note('not all jobs have ended')
-        return 1
-    return 1 if wrong else 0
-
-
-async def submit(fleet: Fleet, jobs: list[str]) -> list[str]:
-    """Hand the jobs in and return those that were accepted."""
-    entries = list(fleet.entries.values())
-    steps = [{'count': TASKS, **TASK}]
-    accepted = []
-    for number, job in enumerate(jobs):
-        entry = entries[number % len(entries)]
-        reply = await fleet.submit(entry, 'gate-check', job, steps)
-        if reply.status == 200:
-            accepted.append(job)
-    return accepted
-
-
-async def flap(fleet: Fleet) -> None:
-    """Let one worker go down and up by turns."""
-    worker = fleet.workers['w0']
-    await asyncio.sleep(0.5)
-    if not fleet.trouble:
-        return
-    for _turn in range(int(FLAP_S / PERIOD_S)):
-        await worker.crash()
-        await asyncio.sleep(PERIOD_S / 2)
-        await worker.start()
-        await asyncio.sleep(PERIOD_S / 2)
-
-
-async def wait_for_ends(fleet: Fleet, jobs: list[str]) -> dict[str, str]:
-    """Return the state of each job once all have ended."""
-    entry = next(iter(fleet.entries.values()))
-    states: dict[str, str] = {}
-    for _attempt in range(FINISH_S):
-        await asyncio.sleep(1)
-        for job in jobs:
-            if states.get(job) in {'completed', 'failed'}:
-                continue
-            reply = await fleet.state_of(entry, 'gate-check', job, quiet=True)
-            if reply.body:
-                states[job] = reply.body['state']
-        if all(states.get(job) in {'completed', 'failed'} for job in jobs):
-            break
-    for job, state in states.items():
-        fleet.record.note('GET', job=job, state=state)
-    return states
+    for text in again:
+        fleet.record.note('RUN AGAIN', what=text)
+    return 1 if again else 0
+
+
+async def change(fleet: Fleet, owner: Entry) -> None:
+    """Remove the queue, freeze the owner, and add the queue again."""
+    started = fleet.record.now()
+
+    async def wait_until(moment: float) -> None:
+        await asyncio.sleep(max(0, started + moment - fleet.record.now()))
+
+    await wait_until(REMOVE_AT_S)
+    route = fleet.routes.pop(QUEUE)
+    fleet.configure()
+    await wait_until(FREEZE_AT_S)
+    if fleet.trouble:
+        owner.signal(signal.SIGSTOP)
+        fleet.record.note('stopped', entry=owner.name)
+    await wait_until(FREEZE_AT_S + FREEZE_S)
+    if fleet.trouble:
+        owner.signal(signal.SIGCONT)
+        fleet.record.note('continued', entry=owner.name)
+    await wait_until(ADD_AT_S)
+    fleet.routes[QUEUE] = route
+    fleet.configure()
+    await wait_until(END_AT_S)
+
+
+async def submit_others(fleet: Fleet, entry: Entry) -> None:
+    """Hand jobs in at the queue that stays, until cancelled."""
+    number = 0
+    while True:
+        number += 1
+        await fleet.submit(entry, OTHER_QUEUE, f'{number:016x}', [OTHER_STEP])
+        await asyncio.sleep(OTHER_INTERVAL_S)
 
 
 if __name__ == '__main__':
-    run_case(case, pathlib.Path(__file__).resolve().parent, 'tuul-wash-grown')
+    folder = pathlib.Path(__file__).resolve().parent
+    run_case(case, folder, 'tuul-wash')
--- a/review/standins/workers.py
+++ b/review/standins/workers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
 from .http import DROP, Answer, Call, Server
@@ -104,10 +103,11 @@
         self.labels = ['a', f'r1-{machine}']
         self.life: Life | None = None
         self.sequence = 0
+        self.last_beat = 0.0
         self.server = Server('127.0.0.1', self._handle)
         self.tasks: list[asyncio.Task[None]] = []
-        #: Returns whether an order gets no answer and is carried out later.
-        self.delay: Callable[[Call], float] = lambda call: 0.0
+        self.healed = asyncio.Event()
+        self.healed.set()
 
     async def start(self) -> None:
         """Begin a life under the same id."""
@@ -138,20 +138,40 @@
         self.record.note('worker down', worker=self.worker_id)
         asyncio.create_task(self._lapse(life.born))
 
-    def deliver(self, call: Call) -> Answer:
-        """Carry out an order in the life of now; nothing without one."""
-        if self.life is None or call.path == '/v1/hold':
-            return DROP
-        return self._order(self.life, call)
+    def cut(self) -> None:
+        """
+        Cut the worker off from all; it runs on.
+
+        What others send meanwhile arrives once the cut has healed, if its
+        sender has not given up by then.
+        """
+        self.healed.clear()
+        self.record.note('worker cut off', worker=self.worker_id)
+        if self.life:
+            asyncio.create_task(self._lapse_behind_cut(self.life))
+
+    def heal(self) -> None:
+        """End the cut."""
+        self.healed.set()
+        self.record.note('worker reachable', worker=self.worker_id)
 
     async def _lapse(self, born: int) -> None:
         await asyncio.sleep(BEAT_S * LAPSE_BEATS)
         if self.life is None:
             self.store.remove('servers', self.worker_id)
 
+    async def _lapse_behind_cut(self, life: Life) -> None:
+        lapses_at = self.last_beat + BEAT_S * LAPSE_BEATS
+        await asyncio.sleep(lapses_at - time.monotonic())
+        if not self.healed.is_set() and self.life is life:
+            self.store.remove('servers', self.worker_id)
+            self.record.note('entry removed', worker=self.worker_id)
+
     async def _beat(self, life: Life) -> None:
         while True:
+            await self.healed.wait()
             self.sequence += 1
+            self.last_beat = time.monotonic()
             self.store.put(
                 'servers',
                 self.worker_id,
@@ -200,6 +220,12 @@
         life.changed = asyncio.Event()
 
     async def _handle(self, call: Call) -> Answer:
+        await self.healed.wait()
+        answer = await self._answer(call)
+        await self.healed.wait()
+        return answer
+
+    async def _answer(self, call: Call) -> Answer:
         life = self.life
         if life is None:
             return DROP
@@ -208,28 +234,10 @@
         expected = call.headers.get('x-expect-instance', self.worker_id)
         if expected != self.worker_id:
             return Answer(421, {})
-        late = self.delay(call)
-        if late:
-            body = call.json()
-            self.record.note(
-                'order held back',
-                worker=self.worker_id,
-                order=call.path,
-                task=body.get('task'),
-                run=body.get('run'),
-                by_s=late,
-            )
-            asyncio.create_task(self._deliver_late(call, late))
-            await asyncio.sleep(late)
-            return DROP
         if call.path == '/v1/hold':
             return await self._hold(life, call.json())
         return self._order(life, call)
 
-    async def _deliver_late(self, call: Call, late: float) -> None:
-        await asyncio.sleep(late)
-        self.deliver(call)
-
     def _order(self, life: Life, call: Call) -> Answer:
         self._advance(life)
         body = call.json()
