Drop the answers of calls whose session with a worker was closed meanwhile

Cause: the session of a worker that is no longer registered is closed once it has no runs, and its renewer, woken by that, called the worker once more. That call was sent into the cut and failed after the worker was back and had a new session under the same worker instance. The old session's lease had run out long ago, so the miss removed all runs of the instance, which were the new session's, and their tasks were placed again.

The class: a task of something closed changes the state of its successor, which has the same key. Found on related paths: a late report of a closed session removes runs that it does not list; an answer to a start order is handled for a closed session; an attempt that was lost removes the one by which the same run was adopted again, since attempts were compared by number.

Change: renewals and start orders check after each call whether their session was closed, a closed session makes no further call, and an attempt is removed or stopped only while its task has that very attempt. No constant changed.

--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -72,6 +72,15 @@
         """The id of this run."""
         return RunId(self.task.task_id, self.number)
 
+    @property
+    def current(self) -> bool:
+        """
+        Whether its task has this attempt.
+
+        The same run may have another attempt, adopted after this one's loss.
+        """
+        return self.task.attempts.get(self.number) is self
+
     def age(self, now: int) -> int:
         """Return the time since the start was ordered, ms, 0 if unknown."""
         return max(0, now - self.ordered_at) if self.ordered_at else 0
--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -143,8 +143,9 @@
         Unless its task is done, the task is queued again, and the other
         members of its gang are stopped.
         """
-        if attempt.task.attempts.pop(attempt.number, None) is None:
+        if not attempt.current:
             return
+        attempt.task.attempts.pop(attempt.number)
         self.mark_dirty(attempt.task.job)
         self.to_stop.pop(attempt.run, None)
         attempts = self.attempts_by_worker[attempt.instance]
--- a/cyclamenshift/scheduling/lease_renewer.py
+++ b/cyclamenshift/scheduling/lease_renewer.py
@@ -45,19 +45,26 @@
             wakeup = session.wakeup
             if session.responsive and not self.state.has_runs(session):
                 await wakeup.wait()
-            await self.renew(REPORT_WAIT_MS if session.has_reported else 0)
-            await self._wait_for_records()
+            if not session.closed:
+                await self.renew(REPORT_WAIT_MS if session.has_reported else 0)
+                await self._wait_for_records()
 
     async def renew(self, wait: int) -> None:
-        """Renew the lease once and apply the report in the answer."""
+        """
+        Renew the lease once and apply the report in the answer.
+
+        The answer is dropped if the session was closed meanwhile: the worker
+        may have a new session, whose runs it does not tell of.
+        """
         order = LeaseRenewal(
             expires=self.state.grant_lease(self.session),
             fence=self.state.term.epoch,
             acknowledged=self.session.end_log.acknowledged,
             wait=wait,
         )
-        worker = self.session.worker
-        await self._handle(await self.state.client.renew(worker, order))
+        result = await self.state.client.renew(self.session.worker, order)
+        if not self.session.closed:
+            await self._handle(result)
 
     async def _wait_for_records(self) -> None:
         """
--- a/cyclamenshift/scheduling/orders.py
+++ b/cyclamenshift/scheduling/orders.py
@@ -62,7 +62,7 @@
         finally:
             window.leave(self.state.service)
         if result is not None:
-            await self._handle(result)
+            await self._apply(result)
 
     async def _record_and_order(self) -> OrderResult | None:
         """Return the answer, None if the order is no longer wanted."""
@@ -98,7 +98,7 @@
 
     def _is_obsolete(self) -> bool:
         attempt = self.attempt
-        removed = attempt.number not in attempt.task.attempts
+        removed = not attempt.current
         to_stop = attempt.run in self.state.tracker.to_stop
         unavailable = self.session.closed or self.session.worker.leaving
         if not self.state.knows_workers:
@@ -117,6 +117,11 @@
             checkpoint=task.checkpoint,
         )
 
+    async def _apply(self, result: OrderResult) -> None:
+        """Handle an answer, unless closing the session removed the run."""
+        if not self.session.closed:
+            await self._handle(result)
+
     @singledispatchmethod
     async def _handle(self, result: OrderResult) -> None:
         raise NotImplementedError(type(result).__qualname__)
@@ -186,7 +191,7 @@
             await self._settle()
             return
         self.repeated = True
-        await self._handle(await self._order())
+        await self._apply(await self._order())
 
     async def _settle(self) -> None:
         """Stop the run unless the worker reports it."""
@@ -201,7 +206,7 @@
     attempt: Attempt,
 ) -> None:
     """Stop an attempt; return once it is over or can no longer start."""
-    while attempt.number in attempt.task.attempts:
+    while attempt.current:
         result = await state.client.stop(
             session.worker,
             attempt.run,
