Tell the caller of a job that it may be stored when its owner received it

Seen: REFUSED.

Cause: an entry VM offers a job to the owner of the service, which writes the row. When the connection to the owner is lost, the entry VM writes the row itself, and if the store refuses that second write, took the refusal for the answer to both. The first write stood, or was repeated until it did.

The class: two writers for one intent, where the refusal of the second is taken for both.

Change: where the offer may have reached the owner, a failed write here gives MaybeStored (504), at once. Where no offer was sent, or the owner has answered, the caller still gets 503.

Evidence: test_job_that_was_refused_is_run failed before for a killed owner and for a cut link (NotStored), and passes now; so do two tests that passed before, in which the job is known not to be stored and its caller gets 503 within 0.5 s.

--- a/cyclamenshift/controls/job_access.py
+++ b/cyclamenshift/controls/job_access.py
@@ -8,9 +8,11 @@
 service writes the row, so that one entry VM batches the jobs submitted at all
 of them.  If the owner doesn't answer, this entry VM writes the row itself: the
 conditional write shows whether the owner has written it already, and if it
-has not, the owner finds the row by itself.
+has not, the owner finds the row by itself.  If that write fails as well, the
+row may still come from an owner that has received the job.
 """
 
+from functools import singledispatch
 from typing import ClassVar, Final, NamedTuple, TypeAlias
 
 from ..component import Host
@@ -34,6 +36,7 @@
     job_key,
     progress_key,
 )
+from ..peer import NoReply, Payload
 from ..plugin import register
 from ..rows import decode_row
 from ..store import ABSENT, Unavailable, get_store_client
@@ -181,28 +184,23 @@
                 'the store can not be reached',
                 SUBMIT_RETRY_AFTER_MS,
             )
-        result: Written | Rival | NotWritten | None = None
         with self.clock.move_on_after(wait):
-            result = await self._write(queue.service, job, wait)
-        if result is None:
-            return MaybeStored('the store did not answer in time')
-        if isinstance(result, NotWritten):
-            return NotStored(
-                'the store can not be reached',
-                SUBMIT_RETRY_AFTER_MS,
+            return _submit_result(
+                await self._write(queue.service, job, wait), job
             )
-        if isinstance(result, Rival):
-            existing = decode_row(result.row, JobRow)['job']
-            return Stored() if existing.same_as(job) else Different()
-        return Stored()
+        return MaybeStored('the store did not answer in time')
 
     async def _write(
         self,
         service: str,
         job: Job,
         wait: int,
-    ) -> Written | Rival | NotWritten:
-        """Have the owner of *service* write the row, or else write it here."""
+    ) -> Written | Rival | NotWritten | MaybeStored:
+        """
+        Have the owner of *service* write the row, or else write it here.
+
+        That the write here failed tells nothing of the owner's.
+        """
         offer = JobOffer(service, job)
         reply = await self.ownership.call_owner(service, offer, wait)
         if isinstance(reply, Written | Rival | NotWritten):
@@ -214,6 +212,8 @@
         )
         if isinstance(result, Written):
             self.ownership.notify_owner(service, JobStored(service, job))
+        elif isinstance(result, NotWritten) and _may_be_written(reply):
+            return MaybeStored('the owner of the service did not answer')
         return result
 
     async def _read_state(
@@ -238,3 +238,37 @@
         if not progress.version:
             return JobState.queued
         return decode_row(progress, ProgressRow)['state']
+
+
+def _may_be_written(reply: Payload | NoReply) -> bool:
+    """Return whether an owner that gave *reply* may write the row."""
+    return isinstance(reply, NoReply) and reply.sent
+
+
+@singledispatch
+def _submit_result(
+    result: Written | Rival | NotWritten | MaybeStored, job: Job
+) -> SubmitResult:
+    """Return what the caller is told of the write of the row of *job*."""
+    raise NotImplementedError(type(result).__qualname__)
+
+
+@_submit_result.register
+def _written(result: Written, job: Job) -> SubmitResult:
+    return Stored()
+
+
+@_submit_result.register
+def _rival(result: Rival, job: Job) -> SubmitResult:
+    existing = decode_row(result.row, JobRow)['job']
+    return Stored() if existing.same_as(job) else Different()
+
+
+@_submit_result.register
+def _not_written(result: NotWritten, job: Job) -> SubmitResult:
+    return NotStored('the store can not be reached', SUBMIT_RETRY_AFTER_MS)
+
+
+@_submit_result.register
+def _uncertain(result: MaybeStored, job: Job) -> SubmitResult:
+    return result
