Call no request not-run after an attempt that may have run

Seen: a look-up whose answer was lost, and whose second attempt found no worker, ended as not-run ("it did not run and will not") though it had run.

Only repeatable requests are tried again after an unknown outcome.

Change: an attempt that did not run leaves the outcome of those before it.

Evidence: test_request_that_may_have_run_is_called_not_run failed before with NotRun(no-worker).

--- a/cyclamenshift/controls/dispatcher.py
+++ b/cyclamenshift/controls/dispatcher.py
@@ -174,12 +174,14 @@
     async def handle(self, request: Request) -> Outcome:
         """Dispatch *request*, with retries where allowed."""
         attempt = 1
+        result: Outcome | None = None
         while True:
             outcome = await self._attempt(request)
+            result = retries.outcome_of_all(outcome, result)
             if isinstance(outcome, Done):
                 self.retry_budget.earn()
             if not self._should_retry(outcome, request, attempt):
-                return outcome
+                return result
             if isinstance(outcome, NotRun):
                 await self.clock.sleep(attempt * retries.RETRY_DELAY_MS)
             attempt += 1
--- a/cyclamenshift/decisions/retries.py
+++ b/cyclamenshift/decisions/retries.py
@@ -49,6 +49,22 @@
         return True
 
 
+@singledispatch
+def outcome_of_all(latest: Outcome, earlier: Outcome | None) -> Outcome:
+    """
+    Return the outcome of a request after its *latest* attempt.
+
+    *earlier* is the outcome of the attempts before it, None if there are none.
+    """
+    return latest
+
+
+@outcome_of_all.register
+def _after_not_run(latest: NotRun, earlier: Outcome | None) -> Outcome:
+    """An attempt that did not run tells nothing of those before it."""
+    return earlier or latest
+
+
 @singledispatch
 def may_retry(outcome: Outcome, request: Request) -> bool:
     """Return whether *outcome* allows another attempt at *request*."""
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -8,7 +8,7 @@
 import trio
 from trio.testing import MockClock
 
-from cyclamenshift.model import Done, NotRun, Outcome, Reason
+from cyclamenshift.model import Done, NotRun, Outcome, Reason, Unknown
 
 from .builders import booking, request
 from .standins.fakes import RequestCluster, RequestEntry
@@ -102,6 +102,22 @@
     assert cluster.workers.count_runs('key-1') == 1
 
 
+async def test_request_that_may_have_run_is_called_not_run(
+    cluster: RequestCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Its answer was lost, and only the second attempt was refused."""
+    (entry,) = await cluster.start_all(1, {'desk': 1})
+    cluster.workers.modes['desk-1'] = 'lost'
+    outcomes: list[Outcome] = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_look_up, entry, outcomes)
+        await cluster.wait_until(lambda: cluster.workers.runs)
+        cluster.workers.modes['desk-1'] = 'gone'
+    assert len(cluster.workers.runs) == 1
+    assert isinstance(outcomes[0], Unknown)
+
+
 async def _look_up(entry: RequestEntry, outcomes: list[Outcome]) -> None:
     deadline = entry.kernel.clock.now() + 1_000
     outcomes.append(await entry.dispatcher.handle(request(deadline=deadline)))
