Tell operators of a VM change what is known after a lost answer

Seen: a drain whose transaction was applied late, after the rows were read back, was answered with "The VM is leaving and can not become leaving"; one whose answer was lost as the store went down was not answered at all.

The refusal of the second transaction was taken for the answer to both, since a read that shows the old row does not rule out that the first transaction is still to be applied.

Change: a lost answer leads to a new attempt on the newest rows. If the VM has the row of an earlier attempt, the change is done; if the store can't be asked, the operator is told that the VM may be changed.

Looked at as well, and right: config apply (change id, unknown after the first lost answer), claims of requests with keys (read back by attempt), relayed commits (NoReply.sent becomes Uncertain), cancellations of jobs (504 whatever the store says), the row writer (a conflict settles all earlier tries of its batch).

Evidence: both new tests of tests/test_pools.py failed before.

--- a/cyclamenshift/controls/pools.py
+++ b/cyclamenshift/controls/pools.py
@@ -47,6 +47,11 @@
 #: The interval at which leaving VMs and lost results are polled, ms.
 LEAVE_POLL_MS = 500
 
+RESULT_UNKNOWN = budget.Refused(
+    'The answer of the store was lost; the VM may be changed.',
+    'Look at the VM with "cyclamenshift vms" before you try again.',
+)
+
 
 class VmChanged(NamedTuple):
     """A change was applied; ``row`` is the new row of the VM."""
@@ -113,21 +118,22 @@
         """
         Change the row of a VM and the affected budgets in one transaction.
 
-        After a conflict the change is planned again on the new rows.
+        After a conflict or a lost answer the change is planned again on the
+        new rows, which show whether an earlier transaction was applied.
         """
-        conflicts = 0
-        while conflicts < CHANGE_ATTEMPT_LIMIT:
-            read_set = await self._read(vm_id)
-            if isinstance(read_set, budget.Refused):
-                return read_set
-            planned = changes.plan(read_set, state, target)
-            if isinstance(planned, budget.Refused):
-                return planned
-            result = await self._commit(vm_id, planned)
-            if not isinstance(result, Conflict):
+        uncertain: list[VmRow] = []
+        attempts = 0
+        while attempts < CHANGE_ATTEMPT_LIMIT:
+            attempts += 1
+            result = await self._attempt(vm_id, state, target, uncertain)
+            if isinstance(result, VmChanged):
                 await self.configuration.refresh()
                 return result
-            conflicts += 1
+            if isinstance(result, budget.Refused):
+                maybe_changed = result == STORE_DOWN and uncertain
+                return RESULT_UNKNOWN if maybe_changed else result
+        if uncertain:
+            return RESULT_UNKNOWN
         return budget.Refused(
             f'Other changes kept coming before that of {vm_id}.',
             'Try again.',
@@ -162,37 +168,36 @@
         by_service = dict(zip(services, budgets, strict=True))
         return changes.ReadSet(vm_id, head, vm, by_service)
 
-    async def _commit(
+    async def _attempt(
         self,
         vm_id: str,
-        planned: changes.PlannedChange,
-    ) -> VmChanged | budget.Refused | Conflict:
+        state: VmState,
+        target: str,
+        uncertain: list[VmRow],
+    ) -> VmChanged | budget.Refused | Conflict | Uncertain:
+        """
+        Plan and commit the change once.
+
+        *uncertain* has the rows of the transactions that may have been
+        applied.  They include the epoch, so the row of the VM shows it.
+        """
+        read_set = await self._read(vm_id)
+        if isinstance(read_set, budget.Refused):
+            return read_set
+        current = decode_row(read_set.vm, VmRow)
+        if current in uncertain:
+            return VmChanged(vm_id, current)
+        planned = changes.plan(read_set, state, target)
+        if isinstance(planned, budget.Refused):
+            return planned
         result = await self.store.commit(planned.transaction)
-        if isinstance(result, Uncertain):
-            return await self._read_back(vm_id, planned.row)
         if isinstance(result, Committed):
             self.log.note('VM state changed.', vm=vm_id, **planned.row)
             return VmChanged(vm_id, planned.row)
-        return STORE_DOWN if isinstance(result, Unavailable) else result
-
-    async def _read_back(
-        self,
-        vm_id: str,
-        row: VmRow,
-    ) -> VmChanged | Conflict:
-        """
-        Determine the result of a commit that is uncertain.
-
-        The row includes the epoch, so it shows whether the commit took effect.
-        """
-        while True:
+        if isinstance(result, Uncertain):
+            uncertain.append(planned.row)
             await self.clock.sleep(LEAVE_POLL_MS)
-            rows = await self.store.read([vm_key(vm_id)])
-            if isinstance(rows, Unavailable):
-                continue
-            if rows[0].version and decode_row(rows[0], VmRow) == row:
-                return VmChanged(vm_id, row)
-            return Conflict(tuple(rows))
+        return STORE_DOWN if isinstance(result, Unavailable) else result
 
     def _vms_to_finish(self) -> list[str]:
         members = live_members(
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -5,19 +5,48 @@
 Drains and moves of VMs, on virtual time.
 """
 
+from collections.abc import Awaitable, Callable
+
+import pytest
 import trio
 from trio.testing import MockClock
 
-from cyclamenshift.controls.pools import LEAVE_PROPAGATION_MS, VmChanged
+from cyclamenshift.controls.pools import (
+    LEAVE_PROPAGATION_MS,
+    RESULT_UNKNOWN,
+    VmChanged,
+)
 from cyclamenshift.decisions.budget import Refused
 from cyclamenshift.model import VmState
 from cyclamenshift.rows import budget_key
+from cyclamenshift.store import CommitResult, Transaction, Uncertain
 
 from .builders import request
 from .standins.fakes import RequestCluster, RequestEntry
 
 #: The time after which a leaving VM gets no new work, s.
 LEAVE_PROPAGATION_S = 3
+#: The time within which an operator must be told what is known, s.
+ANSWER_S = 10
+
+
+class LateCommits:
+    """Applies the first transaction just before the second one."""
+
+    def __init__(
+        self, commit: Callable[[Transaction], Awaitable[CommitResult]]
+    ) -> None:
+        """Pass transactions to *commit*."""
+        self.pass_on = commit
+        self.delayed: Transaction | None = None
+
+    async def commit(self, transaction: Transaction) -> CommitResult:
+        """Commit *transaction*, or delay it if it is the first one."""
+        if self.delayed is None:
+            self.delayed = transaction
+            return Uncertain('no answer')
+        await self.pass_on(self.delayed)
+        return await self.pass_on(transaction)
 
 
 def list_states(cluster: RequestCluster, vm_id: str) -> set[tuple[str, str]]:
@@ -98,6 +127,37 @@
     assert row.fields['unavailable'] == 1
 
 
+async def test_change_that_may_be_applied_is_never_answered(
+    cluster: RequestCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Its answer was lost, and the store was down from then on."""
+    (entry,) = await cluster.start_all(1, {'desk': 4})
+    cluster.store.lose_answers = 1
+    changes: list[VmChanged | Refused] = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_drain, entry, 'desk-1', changes)
+        await cluster.wait_until(lambda: not cluster.store.lose_answers)
+        cluster.store.down = True
+        with trio.fail_after(ANSWER_S):
+            await cluster.wait_until(lambda: changes)
+    assert changes == [RESULT_UNKNOWN]
+
+
+async def test_change_that_is_applied_late_is_called_refused(
+    cluster: RequestCluster,
+    autojump_clock: MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The second transaction found the row that the first one had written."""
+    (entry,) = await cluster.start_all(1, {'desk': 4})
+    store = entry.pools.store
+    monkeypatch.setattr(store, 'commit', LateCommits(store.commit).commit)
+    assert isinstance(await entry.pools.drain_vm('desk-1'), VmChanged)
+    row = cluster.store.table.row(budget_key('desk'))
+    assert row.fields['unavailable'] == 1
+
+
 async def test_move_is_finished_by_another_entry_vm(
     cluster: RequestCluster,
     autojump_clock: MockClock,
