Track jobs also while their queue is not configured

Cause: a new owner deferred each job whose queue was not in its configuration. Neither the job nor its recorded runs were tracked, but the workers' reports were applied and their ends acknowledged, so that nobody remembered them. Once the queue was back the job was restored from its old row.

The class: state that is skipped because the configuration lacks something, while effects on it are acknowledged. By the same cause failed runs were not counted (BUDGET), runs at work were stopped as orphans, and a cancel stopped nothing.

Change: such a job is tracked like any other, with a placeholder for its queue. Its runs keep their leases, their ends, failures and crashes count, a cancel stops them. It is suspended: no task and no copy starts until the queue is configured, and only then is it decided whether a task has failed too often.

--- a/cyclamenshift/decisions/copies.py
+++ b/cyclamenshift/decisions/copies.py
@@ -74,7 +74,7 @@
     may_repeat = step.speculative and not step.gang and not step.long_running
     # A copy of a task that crashes its workers would crash another one.
     is_single = len(task.attempts) == 1 and not task.crashes.in_a_row
-    is_over = task.done or task.job.state.final
+    is_over = task.done or task.job.state.final or task.job.suspended
     return may_repeat and is_single and not is_over
 
 
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -6,8 +6,9 @@
 """
 
 import enum
+import sys
 from collections.abc import Iterator
-from typing import NamedTuple, TypeAlias
+from typing import Final, NamedTuple, TypeAlias
 
 from ..directory import Queue
 from ..job import Job, JobState, RunEnd, RunId, RunOutcome, Step, TaskId
@@ -17,6 +18,18 @@
 #: The id and the start time of a worker process.
 WorkerInstance: TypeAlias = tuple[str, int]
 
+#: Stands for a queue that is not configured.
+UNKNOWN_QUEUE: Final = Queue(
+    name='',
+    host='',
+    prefix='',
+    service='',
+    priority=0,
+    attempts=sys.maxsize,
+    stretch=0,
+    allowance=0,
+)
+
 
 class Phase(enum.StrEnum):
     """The phase of an attempt."""
@@ -145,7 +158,9 @@
     """
     The state of one job at its scheduler.
 
-    The tasks of a step are created when the step may begin.
+    The tasks of a step are created when the step may begin.  While the queue
+    is ``UNKNOWN_QUEUE`` the job is suspended: its runs go on and their ends
+    count, but no task starts, and no failure is the last one.
     ``generation`` grows with each change that must be recorded; ``recorded``
     is the last generation that was recorded, in the row ``version``.
     ``end_logged`` is set once the job's final state was logged.
@@ -168,6 +183,23 @@
         self.final_generation = 0
         self.end_logged = False
 
+    @property
+    def suspended(self) -> bool:
+        """Whether no task may start because the queue is not known."""
+        return self.queue is UNKNOWN_QUEUE
+
+    def resume(self, queue: Queue, wall_time: int) -> RunEndEffect:
+        """
+        Set the queue of a suspended job.
+
+        The job fails if a task has no attempts left under the queue.
+        """
+        self.queue = queue
+        self.schedule = schedule_of(self.job, queue)
+        if self.state.final or not any(map(self._exhausted, self.tasks())):
+            return RunEndEffect()
+        return self.finish(JobState.failed, wall_time)
+
     @property
     def occurrences(self) -> int:
         """The number of times that the steps run."""
@@ -313,8 +345,7 @@
         if number not in counted.failed_runs:
             counted.failed_runs.add(number)
             counted.failures += 1
-        exhausted = counted.failures >= self.queue.attempts
-        if exhausted and not task.step.long_running:
+        if self._exhausted(counted):
             return self.finish(JobState.failed, wall_time)
         return RunEndEffect()
 
@@ -330,6 +361,12 @@
         tasks = self.steps.get((occurrence, number))
         return tasks or self.open_step(occurrence, number)
 
+    def _exhausted(self, task: Task) -> bool:
+        """Return whether *task* has failed as often as its queue allows."""
+        return (
+            task.failures >= self.queue.attempts and not task.step.long_running
+        )
+
     def _finish_occurrence(self, occurrence: int, wall_time: int) -> None:
         steps = range(len(self.job.steps))
         if not all(self.step_done(occurrence, number) for number in steps):
--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -93,6 +93,16 @@
             self.track(attempt)
         self._enqueue(progress.tasks())
 
+    def resume(
+        self, progress: JobProgress, queue: Queue, wall_time: int
+    ) -> None:
+        """Let the tasks of a suspended job start under the rules of *queue*."""
+        effect = progress.resume(queue, wall_time)
+        if progress.state.final:
+            self.apply_effect(progress, effect)
+        else:
+            self._enqueue(progress.tasks())
+
     def open_due(self, wall_time: int) -> None:
         """Queue the first tasks of every occurrence that is due."""
         for job_id, progress in tuple(self.scheduled.items()):
@@ -235,7 +245,8 @@
 
     def _enqueue(self, tasks: Iterable[Task]) -> None:
         for task in tasks:
-            if task.waiting and not task.job.state.final:
+            may_start = not (task.job.suspended or task.job.state.final)
+            if task.waiting and may_start:
                 self.waiting[task.task_id] = task
 
     def _stop_gang(self, gone: Attempt) -> None:
--- a/cyclamenshift/scheduling/job_reader.py
+++ b/cyclamenshift/scheduling/job_reader.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from ..decisions.progress import JobProgress
+from ..decisions.progress import UNKNOWN_QUEUE, JobProgress
 from ..directory import Directory, Queue
 from ..errors import ProtocolError
 from ..job import Job
@@ -53,7 +53,7 @@
         self.loaded_tables: dict[str, Snapshot] = {}
         self.next_job_scan = 0
         self.versions = {JOB_TABLE: ABSENT, CANCEL_TABLE: ABSENT}
-        self.deferred: dict[str, StoredJob] = {}
+        self.suspended: set[str] = set()
         self.pending_cancellations: set[str] = set()
 
     async def load(self) -> None:
@@ -75,7 +75,7 @@
         """
         while True:
             await self.clock.sleep(POLL_INTERVAL_MS)
-            self._retry_deferred()
+            self._resume_suspended()
             await self._poll(table)
 
     def add(self, job: Job) -> None:
@@ -126,49 +126,53 @@
         self.loaded_tables.clear()
 
     def _register(self, stored: StoredJob) -> bool:
-        """Start tracking a job; return whether it was not tracked before."""
-        job, progress_row = stored
-        queue = self._queue(job.queue)
-        if queue is None:
-            self._defer(stored)
-            return False
-        if progress_row is None:
-            added = (
-                self.tracker.add(job, queue, self.clock.wall_time()) is not None
-            )
-        else:
-            fields = self._decode(progress_row, ProgressRow)
-            if fields is None:
-                return False
-            added = True
-            self.tracker.restore(
-                JobProgress(job, queue, progress_row.version),
-                fields,
-                self.clock.wall_time(),
-                self.clock.now(),
-            )
-        if job.job_id in self.pending_cancellations:
-            self.pending_cancellations.discard(job.job_id)
-            self.cancel(job.job_id)
-        return added
+        """
+        Start tracking a job; return whether it is new and may start.
 
-    def _defer(self, stored: StoredJob) -> None:
-        """Defer a job whose queue is not in the local configuration yet."""
+        A job whose queue is not in the local configuration is tracked as
+        well: the ends of its runs are acknowledged, so they must count.
+        """
         job = stored.job
-        if job.job_id not in self.deferred:
-            self.deferred[job.job_id] = stored
+        progress = self._track(stored)
+        if progress is None:
+            return False
+        if progress.suspended and not progress.state.final:
+            self.suspended.add(job.job_id)
             self.state.log.note(
-                'Job deferred: its queue is not configured.',
+                'Job suspended: its queue is not configured.',
                 job=job.job_id,
                 queue=job.queue,
             )
+        if job.job_id in self.pending_cancellations:
+            self.pending_cancellations.discard(job.job_id)
+            self.cancel(job.job_id)
+        return not progress.suspended
 
-    def _retry_deferred(self) -> None:
-        for stored in tuple(self.deferred.values()):
-            if self._queue(stored.job.queue):
-                self.deferred.pop(stored.job.job_id)
-                self._register(stored)
+    def _track(self, stored: StoredJob) -> JobProgress | None:
+        """Track a job; return None if it is known or its row is invalid."""
+        job, progress_row = stored
+        queue = self._queue(job.queue) or UNKNOWN_QUEUE
+        wall_time = self.clock.wall_time()
+        if progress_row is None:
+            return self.tracker.add(job, queue, wall_time)
+        fields = self._decode(progress_row, ProgressRow)
+        if fields is None:
+            return None
+        progress = JobProgress(job, queue, progress_row.version)
+        self.tracker.restore(progress, fields, wall_time, self.clock.now())
+        return progress
+
+    def _resume_suspended(self) -> None:
+        """Resume the jobs whose queue is configured by now."""
+        for job_id in tuple(self.suspended):
+            progress = self.tracker.jobs.get(job_id)
+            queue = self._queue(progress.job.queue) if progress else None
+            if progress and queue:
+                self.tracker.resume(progress, queue, self.clock.wall_time())
+                self.state.recorder.notify()
                 self.state.wake()
+            if queue or not progress:
+                self.suspended.discard(job_id)
 
     def _queue(self, name: str) -> Queue | None:
         catalog = self.directory.catalog
@@ -222,11 +226,9 @@
                 self.add(decoded['job'])
 
     def _forget(self, key: Key) -> None:
-        """Forget what is kept of a deleted row until it can be used."""
+        """Forget a deleted cancellation that was kept for its job."""
         if key.table == CANCEL_TABLE:
             self.pending_cancellations.discard(key.name)
-        else:
-            self.deferred.pop(key.name, None)
 
     def _decode(self, row: Row, row_type: type[RowType]) -> RowType | None:
         """Return the fields of a row, None for a row that is invalid."""
