Order a change of a VM only while its scheduler keeps the VM empty

In a wave over five machines the cloud gives 503 for 5 s.

Cause: a vacated VM stayed reserved for 3 s, and the order was repeated without a limit, on the ground that the VM had been empty once. The same holds for an order that waits for the confirmation of the ownership, for one without an answer that is carried out late, and for a VM whose worker was unregistered for a moment, since the reservation went with the session of the worker.

The class: an order that is repeated after the ground for it is gone.

Change: before each order the manager has the reservation renewed by the scheduler of the pool, beside the check of its ownership; if the VM is in use again, the change is given up. A reservation holds for a worker that is registered again, and not for the new instance after the order.

--- a/cyclamenshift/fleetmessages.py
+++ b/cyclamenshift/fleetmessages.py
@@ -5,11 +5,15 @@
 The peer messages between the schedulers and the fleet manager.
 """
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from .job import Resources
 from .peer import register_payload
 
+#: How long a VM that was found empty stays reserved for an order, ms, unless
+#: it is asked for again.
+RESERVATION_MS: Final = 3_000
+
 
 class VmLoad(NamedTuple):
     """
@@ -47,7 +51,11 @@
 
 @register_payload
 class Vacate(NamedTuple):
-    """Asks a scheduler to empty a VM within ``wait`` ms and keep it empty."""
+    """
+    Asks a scheduler to empty a VM within ``wait`` ms and keep it empty.
+
+    With 0 ms nothing is stopped; an empty VM is reserved further.
+    """
 
     service: str
     vm_id: str
@@ -56,6 +64,6 @@
 
 @register_payload
 class Vacated(NamedTuple):
-    """Whether the VM is empty; if so, it stays empty for a while."""
+    """Whether the VM is empty, and is to stay so for ``RESERVATION_MS``."""
 
     empty: bool
--- a/cyclamenshift/managing/manager.py
+++ b/cyclamenshift/managing/manager.py
@@ -16,10 +16,10 @@
 from ..decisions.maintenance import is_complete, next_vms
 from ..directory import Maintenance
 from ..duty import OwnershipTerm
-from ..fleetmessages import PoolReport, Vacate, Vacated
+from ..fleetmessages import RESERVATION_MS, PoolReport, Vacate, Vacated
 from ..job import JobState
 from ..provider import VmUnanswered
-from .orders import maintain, move
+from .orders import ORDER_MS, maintain, move
 from .state import FleetState
 
 #: How often the VMs are listed, ms.
@@ -28,6 +28,9 @@
 MAX_WAIT_MS: Final = 200
 #: How long the reply to a vacate call may be in transit, ms.
 REPLY_TRANSIT_MS: Final = 200
+#: The same for the renewal of a reservation, which is answered at once, ms.
+#: It is of use as long as the reservation covers an order after that.
+RENEWAL_TIMEOUT_MS: Final = RESERVATION_MS - ORDER_MS
 
 
 class FleetManager:
@@ -78,8 +81,9 @@
             nursery.start_soon(self._poll_vms)
             while True:
                 changed = self.state.changed
-                self._maintain(nursery)
-                self._move_vms(nursery)
+                if self.state.provider_answers:
+                    self._maintain(nursery)
+                    self._move_vms(nursery)
                 await self._publish()
                 with self.clock.move_on_after(MAX_WAIT_MS):
                     await changed.wait()
@@ -88,6 +92,8 @@
         while True:
             sent_at = self.clock.now()
             vms = await self.state.provider.list_vms()
+            answered = not isinstance(vms, VmUnanswered)
+            self.state.provider_answers = answered
             if isinstance(vms, VmUnanswered):
                 self.state.log.warning(
                     'Failed to list the VMs.',
@@ -164,6 +170,6 @@
         reply = await self.ownership.call_owner(
             service,
             Vacate(service, vm_id, wait),
-            wait + REPLY_TRANSIT_MS,
+            max(wait + REPLY_TRANSIT_MS, RENEWAL_TIMEOUT_MS),
         )
         return isinstance(reply, Vacated) and reply.empty
--- a/cyclamenshift/managing/state.py
+++ b/cyclamenshift/managing/state.py
@@ -55,6 +55,8 @@
             term,
             kernel.settings['jobs']['manager_lease'],
         )
+        #: Whether the provider has answered the last call.
+        self.provider_answers = True
         self.changed = trio.Event()
 
     @property
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable, Mapping
-from typing import Final
+from typing import Final, NamedTuple
 
 import trio
 
@@ -23,6 +23,7 @@
 from ..jobrows import OwnerRow
 from ..logs import get_logger
 from ..rows import decode_row
+from ..settings import JobSettings
 from ..store import StoreClient, Unavailable, get_store_client
 from ..worker import Worker, WorkerClient, WorkerReport
 from .order_window import OrderWindow
@@ -39,6 +40,21 @@
 RETRY_DELAY_MS: Final = 100
 
 
+class Reservation(NamedTuple):
+    """
+    The reservation of a VM for an order, made at ``made_at``.
+
+    It lasts until ``until``, monotonic ms; ``made_at`` is in ms since the
+    epoch.
+    """
+
+    until: int
+    made_at: int
+
+
+NOT_RESERVED: Final = Reservation(0, 0)
+
+
 class ServiceState:
     """The jobs, worker sessions and recorder of one service."""
 
@@ -53,7 +69,6 @@
         self.kernel = kernel
         self.clock = kernel.clock
         self.term = term
-        self.settings = kernel.settings['jobs']
         self.log = get_logger(f'scheduler.{self.service}')
         self.client = kernel.get(WorkerClient)
         self.tracker = JobTracker()
@@ -67,6 +82,8 @@
         )
         self.sessions: dict[WorkerInstance, WorkerSession] = {}
         self.orphans: dict[WorkerInstance, set[RunId]] = {}
+        #: By VM id.
+        self.reservations: dict[str, Reservation] = {}
         self.started_at = self.clock.now()
         self.changed = trio.Event()
 
@@ -75,6 +92,11 @@
         """The name of the service."""
         return self.term.domain
 
+    @property
+    def settings(self) -> JobSettings:
+        """The settings of the schedulers."""
+        return self.kernel.settings['jobs']
+
     @property
     def store(self) -> StoreClient:
         """The client of the store."""
@@ -99,9 +121,11 @@
                 prior_leases_until += max_elapsed(
                     self.settings['lease_horizon']
                 )
-            self.sessions[worker.instance] = WorkerSession(
-                worker, Lease(prior_leases_until)
-            )
+            session = WorkerSession(worker, Lease(prior_leases_until))
+            reservation = self.reservations.get(worker.vm_id, NOT_RESERVED)
+            if worker.started_at < reservation.made_at:
+                session.reserved_until = reservation.until
+            self.sessions[worker.instance] = session
         return self.sessions[worker.instance]
 
     def has_runs(self, session: WorkerSession) -> bool:
--- a/cyclamenshift/scheduling/vacating.py
+++ b/cyclamenshift/scheduling/vacating.py
@@ -10,14 +10,13 @@
 import trio
 
 from ..decisions.eviction import may_evict
+from ..fleetmessages import RESERVATION_MS
 from .orders import stop_attempt
-from .state import ServiceState
+from .state import Reservation, ServiceState
 from .worker_session import WorkerSession
 
 #: How often a VM being vacated is checked, ms.
 POLL_INTERVAL_MS: Final = 100
-#: How long a vacated VM stays reserved for the order that follows, ms.
-RESERVATION_MS: Final = 3_000
 
 
 async def vacate(state: ServiceState, vm_id: str, wait: int) -> bool:
@@ -64,7 +63,13 @@
 
 
 def _reserve(state: ServiceState, vm_id: str, until: int) -> None:
-    """Start no run on a VM before *until*, monotonic ms."""
+    """
+    Start no run on a VM before *until*, monotonic ms.
+
+    That holds also for a worker of the VM that is registered later, if it is
+    not a new instance: the one that follows an order is to be used at once.
+    """
+    state.reservations[vm_id] = Reservation(until, state.clock.wall_time())
     for session in _sessions_at(state, vm_id):
         session.reserved_until = until
 
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -8,7 +8,6 @@
 the store, the peer streams, the platform and the workers are fakes.
 """
 
-from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import trio
@@ -20,22 +19,14 @@
 from cyclamenshift.controls.job_access import JobAccess, Stored
 from cyclamenshift.controls.ownership import Ownership
 from cyclamenshift.controls.row_writer import Written
-from cyclamenshift.directory import Catalog, Directory, Maintenance, Queue
+from cyclamenshift.directory import Queue
 from cyclamenshift.duties.fleet import FleetDuty
 from cyclamenshift.duties.scheduler import SchedulerDuty
 from cyclamenshift.duty import Duty
 from cyclamenshift.job import Job, JobState
 from cyclamenshift.jobrows import CancelRow, cancel_key
 from cyclamenshift.provider import (
-    FencingToken,
-    ProvidedVm,
-    VmAccepted,
     VmPhase,
-    VmProvider,
-    VmRefusal,
-    VmRefused,
-    VmResult,
-    VmUnanswered,
 )
 from cyclamenshift.scheduling.state import ServiceState
 from cyclamenshift.store import ABSENT
@@ -43,12 +34,12 @@
 
 from ..builders import (
     WALL_START,
-    catalog,
     entry_settings,
     provided_vm,
     worker,
 )
 from .fakes import EntryGroup, FakePeer, FakeStore, run_in_scope
+from .platform import FakeDirectory, FakeVmProvider, SharedPlatform, VmOrder
 from .workers import FakeWorkerClient, SimWorkers, now_ms
 
 #: How long a VM is down for maintenance, ms.
@@ -61,154 +52,10 @@
 RESTART_MS = 3_200
 #: For how long a worker that goes down again and again is down, and then up.
 FLAP_MS = 700
-#: The duration of a call of the platform, ms.
-PLATFORM_CALL_MS = 4
 #: The time within which a submission or cancellation must be accepted, ms.
 WAIT_MS = 3_000
 
 
-class VmOrder(NamedTuple):
-    """
-    An order to move or maintain a VM.
-
-    ``accepted_at`` is the time in ms, 0 if it was refused.
-    """
-
-    vm_id: str
-    pool: str
-    maintenance: int
-    fencing_token: FencingToken
-    accepted_at: int
-
-
-class SharedPlatform:
-    """
-    The data behind all fakes of the platform, with the orders given.
-
-    The directories know the workers as of ``workers_age`` ms ago.  The VMs in
-    ``leaving`` are listed as up, but refuse orders as busy.  The
-    next ``lost_orders`` orders get no answer and have no effect.
-    """
-
-    def __init__(self) -> None:
-        """Start with two services and a spare pool, and without VMs."""
-        self.catalog: Catalog | None = catalog()
-        self.workers: dict[str, Worker] = {}
-        self.workers_age = 0
-        self.maintenances: dict[int, Maintenance] = {}
-        self.vms: dict[str, ProvidedVm] = {}
-        self.published: dict[int, JobState] = {}
-        self.orders: list[VmOrder] = []
-        self.refused_orders: list[VmOrder] = []
-        self.leaving: set[str] = set()
-        self.lost_orders = 0
-        self.changed = trio.Event()
-
-    def notify_change(self) -> None:
-        """Wake the tasks that wait for a change of a directory."""
-        self.changed.set()
-        self.changed = trio.Event()
-
-
-class FakeDirectory(Directory):
-    """A directory with the data of the shared platform."""
-
-    name = 'fake'
-    platform: SharedPlatform
-
-    @property
-    def catalog(self) -> Catalog | None:
-        """The configuration of the platform."""
-        return self.platform.catalog
-
-    @property
-    def workers(self) -> Mapping[str, Worker]:
-        """The registered workers, by worker id."""
-        return self.platform.workers
-
-    @property
-    def workers_age(self) -> int:
-        """How old the registrations are, ms."""
-        return self.platform.workers_age
-
-    @property
-    def maintenances(self) -> Mapping[int, Maintenance]:
-        """The maintenance requests, by number."""
-        return self.platform.maintenances
-
-    async def wait_until_current(self, age: int, wait: int) -> bool:
-        """Return at once, as the configuration is always the newest."""
-        return True
-
-    async def wait_for_change(self) -> None:
-        """Wait until the data of the platform change."""
-        await self.platform.changed.wait()
-
-    def watch_workers(self, name: str, *, wanted: bool) -> None:
-        """Do nothing, as all workers are always known."""
-
-    async def publish_maintenance(
-        self,
-        maintenance: int,
-        state: JobState,
-    ) -> bool:
-        """Store the published state."""
-        self.platform.published[maintenance] = state
-        return True
-
-
-class FakeVmProvider(VmProvider):
-    """Moves and maintains the VMs of the shared platform."""
-
-    name = 'fake'
-
-    @property
-    def cluster(self) -> 'JobCluster':
-        """The cluster to which the VMs belong."""
-        raise NotImplementedError
-
-    async def list_vms(self) -> list[ProvidedVm] | VmUnanswered:
-        """Return the VMs of the platform."""
-        await self.clock.sleep(PLATFORM_CALL_MS)
-        return list(self.cluster.platform.vms.values())
-
-    async def move(
-        self,
-        vm_id: str,
-        pool: str,
-        fencing_token: FencingToken,
-    ) -> VmResult:
-        """Move a VM to *pool*, where its worker restarts."""
-        return await self._order(VmOrder(vm_id, pool, 0, fencing_token, 0))
-
-    async def maintain(
-        self,
-        vm_id: str,
-        maintenance: int,
-        fencing_token: FencingToken,
-    ) -> VmResult:
-        """Maintain a VM, whose worker restarts after that."""
-        return await self._order(
-            VmOrder(vm_id, '', maintenance, fencing_token, 0),
-        )
-
-    async def _order(self, order: VmOrder) -> VmResult:
-        await self.clock.sleep(PLATFORM_CALL_MS)
-        platform = self.cluster.platform
-        if platform.lost_orders:
-            platform.lost_orders -= 1
-            return VmUnanswered(sent=True, reason='lost')
-        vm = platform.vms.get(order.vm_id)
-        if vm is None:
-            return VmRefused(VmRefusal.impossible)
-        if vm.phase is not VmPhase.up or order.vm_id in platform.leaving:
-            platform.refused_orders.append(order)
-            return VmRefused(VmRefusal.busy)
-        platform.orders.append(order._replace(accepted_at=now_ms()))
-        self.cluster.nursery.start_soon(self.cluster.take_down, order)
-        return VmAccepted()
-
-
 class JobEntry(NamedTuple):
     """An entry VM of a cluster, with the components that tests use."""
 
@@ -272,7 +119,7 @@
             rack=vm.rack,
             resources=vm.resources,
             labels=vm.labels,
-            started_at=WALL_START + self.workers_started,
+            started_at=WALL_START + now_ms() + self.workers_started,
         )
         self.workers.add(new_worker)
         self.platform.workers[new_worker.worker_id] = new_worker
@@ -470,9 +317,11 @@
             platform = cluster.platform
 
         class BoundVmProvider(FakeVmProvider):
-            @property
-            def cluster(self) -> JobCluster:
-                return cluster
+            platform = cluster.platform
+            nursery = cluster.nursery
+
+            async def take_down(self, order: VmOrder) -> None:
+                await cluster.take_down(order)
 
         return [
             BoundStore,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -19,7 +19,8 @@
 from cyclamenshift.managing.orders import maintain, move
 
 from .builders import job, step
-from .standins.jobs import MAINTENANCE_MS, JobCluster, JobEntry, VmOrder
+from .standins.jobs import MAINTENANCE_MS, JobCluster, JobEntry
+from .standins.platform import VmOrder
 from .standins.workers import now_ms
 
 #: The resources of a VM that holds two small tasks.
