Stop the runs on a vacated VM also when the caller goes away

When the call ended first, because the manager was gone or its time was over, a run whose stop had no answer yet stayed marked as evicted: it was never stopped, counted as missing in its step for good, and so blocked each further wave.

Change: the stops are tasks of the scheduler, and a call that is cancelled ends the reservation.

--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -61,12 +61,14 @@
         self.directory = kernel.get(Directory)
         self.job_reader = JobReader(self.state, self.directory)
         self.loaded = False
+        self.nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
         """Load the jobs, then schedule until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.state.keep_ownership_confirmed)
             await self.job_reader.load()
+            self.nursery = nursery
             self.loaded = True
             nursery.start_soon(self.state.recorder.run)
             nursery.start_soon(self._watch_workers, nursery)
@@ -116,7 +118,9 @@
 
     async def vacate(self, vm_id: str, wait: int) -> bool:
         """Vacate a VM within *wait* ms; return whether it is empty."""
-        return await vacate(self.state, vm_id, wait)
+        if self.nursery is None:
+            return False
+        return await vacate(self.state, vm_id, wait, self.nursery)
 
     def dump(self) -> Dump:
         """Return a summary of the jobs and workers."""
--- a/cyclamenshift/scheduling/vacating.py
+++ b/cyclamenshift/scheduling/vacating.py
@@ -19,25 +19,29 @@
 POLL_INTERVAL_MS: Final = 100
 
 
-async def vacate(state: ServiceState, vm_id: str, wait: int) -> bool:
+async def vacate(
+    state: ServiceState, vm_id: str, wait: int, nursery: trio.Nursery
+) -> bool:
     """
     Vacate a VM within *wait* ms; return whether it is empty.
 
     Once empty, the VM stays reserved for ``RESERVATION_MS``.  If the time is
-    too short, new runs may start on it again at once.
+    too short, new runs may start on it again at once.  Runs are stopped in
+    tasks of *nursery*, also after the caller has gone.
     """
     deadline = state.clock.now() + wait
-    _reserve(state, vm_id, deadline + RESERVATION_MS)
-    async with trio.open_nursery() as nursery:
+    empty = False
+    try:
         while _occupied(state, vm_id) and state.clock.remaining(deadline):
+            _reserve(state, vm_id, deadline + RESERVATION_MS)
             for session in _sessions_at(state, vm_id):
                 evict(state, session, nursery)
             await state.clock.sleep(POLL_INTERVAL_MS)
-            _reserve(state, vm_id, deadline + RESERVATION_MS)
-    empty = not _occupied(state, vm_id)
-    until = state.clock.now() + RESERVATION_MS if empty else 0
-    _reserve(state, vm_id, until)
-    state.wake()
+        empty = not _occupied(state, vm_id)
+    finally:
+        until = state.clock.now() + RESERVATION_MS if empty else 0
+        _reserve(state, vm_id, until)
+        state.wake()
     return empty
 
 
--- a/tests/test_vacating.py
+++ b/tests/test_vacating.py
@@ -77,3 +77,27 @@
 
 async def _assert_occupied(scheduler: ServiceScheduler) -> None:
     assert not await scheduler.vacate('desk-vm-1', VACATE_MS)
+
+
+async def test_run_stays_marked_as_evicted_after_a_cancelled_call(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """The manager that asked for the VM went away before the run was over."""
+    job_cluster.add_workers('desk', 1)
+    (entry,) = await job_cluster.start_all(1)
+    await job_cluster.submit(
+        entry, job(steps=(step(tasks=1, long_running=True),))
+    )
+    await job_cluster.wait_until(lambda: job_cluster.workers.started_runs)
+    await trio.sleep(1)
+    worker_id = job_cluster.get_worker_id('desk-vm-1')
+    sim = job_cluster.workers.current_instance(worker_id)
+    sim.unreachable_from = set()
+    scheduler = entry.scheduler.schedulers['desk']
+    with trio.move_on_after(0.1):
+        await scheduler.vacate('desk-vm-1', VACATE_MS)
+    sim.unreachable_from = None
+    await job_cluster.wait_until(lambda: job_cluster.workers.ends)
+    await trio.sleep(0.2)
+    assert len(job_cluster.workers.started_runs) == 2
