Ignore the updates of a peer that another process has replaced

A late heartbeat of the old one set which domains the new one owns, until its next change, so that callers and candidates took a domain for owned that nobody owned.

Change: a link whose registration is gone passes on no updates. It counted as not alive before, so nothing else used them.

Evidence: test_update_of_a_replaced_process_counts_for_its_successor failed before.

--- a/cyclamenshift/peers/link.py
+++ b/cyclamenshift/peers/link.py
@@ -244,6 +244,9 @@
 
     @_on_message.register
     def _on_heartbeat(self, message: Heartbeat) -> None:
+        if self.retired:
+            # A process that took the place of this peer has its id.
+            return
         for payload in message.updates:
             self.context.dispatch_payload(self.entry.entry_id, payload)
 
