Refuse jobs with numbers that can't be stored, naming the field

Seen by the review: a job with estimateMs 10^20 ended each entry VM that it was sent to, three of three.

Cause: the number passed the validation and could not be packed, in a frame for a peer and in a transaction; the latter ended the process. The class: one malformed message takes a process down.

A refusal (400) names the field as the caller knows it. A row that can't be encoded all the same is refused like one that the store refuses. A deadline of thousands of digits is ignored.

--- a/cyclamenshift/platform/frontend.py
+++ b/cyclamenshift/platform/frontend.py
@@ -20,7 +20,7 @@
 from ..frontend import Frontend, read_body
 from ..plugin import register
 from ..store import Unavailable
-from .jobs import JobBody, decode_job
+from .jobs import JobBody, decode_job, describe_problem
 from .responses import (
     bad_request,
     empty_response,
@@ -40,6 +40,8 @@
 DEADLINE_HEADER: Final = 'X-Deadline-Ms'
 #: The same time for a request without the header, ms.
 DEFAULT_TIMEOUT_MS: Final = 3_000
+#: The most digits of that time; a text of thousands can't be converted.
+MAX_DIGITS: Final = 15
 #: The part of that time reserved for sending the response, ms.
 RESPONSE_MARGIN_MS: Final = 50
 #: The maximum time for the request of a caller, ms.  It is half of what
@@ -153,7 +155,7 @@
         )
         problem = find_problem(job)
         if problem:
-            return bad_request(problem)
+            return bad_request(describe_problem(problem))
         return respond(
             await self.job_access.submit(target.queue, job, _read_timeout())
         )
@@ -227,7 +229,8 @@
 
 def _read_timeout() -> int:
     text = quart.request.headers.get(DEADLINE_HEADER, '')
-    wait = int(text) if text.isdecimal() else DEFAULT_TIMEOUT_MS
+    readable = text.isdecimal() and len(text) <= MAX_DIGITS
+    wait = int(text) if readable else DEFAULT_TIMEOUT_MS
     return max(1, min(MAX_TIMEOUT_MS, wait - RESPONSE_MARGIN_MS))
 
 
--- a/cyclamenshift/platform/jobs.py
+++ b/cyclamenshift/platform/jobs.py
@@ -5,8 +5,10 @@
 Decodes the jobs that the platform's clients submit.
 """
 
-from typing import Any, NotRequired, TypedDict, cast
+from collections.abc import Mapping
+from typing import Any, Final, NotRequired, TypedDict, cast
 
+from ..decisions.admission import Problem
 from ..job import Job, Step
 from .wire import ResourcesBody, decode_resources
 
@@ -54,6 +56,29 @@
 )
 
 
+#: The platform's names of the fields of a job and a step that differ.
+FIELD_NAMES: Final[Mapping[str, str]] = {
+    'occurrences': 'maxRuns',
+    'first_due': 'firstRunMs',
+    'interval': 'intervalMs',
+    'tasks': 'count',
+    'memory': 'memMb',
+    'estimate': 'estimateMs',
+    'dependencies': 'after',
+    'worker_limit': 'antiAffinity',
+    'latency_target': 'targetMs',
+    'disruption_limit': 'mayMiss',
+}
+
+
+def describe_problem(problem: Problem) -> str:
+    """Return *problem* with the platform's name of its field."""
+    field = FIELD_NAMES.get(problem.field, problem.field)
+    if problem.step is not None:
+        field = f'steps[{problem.step}].{field}'
+    return f'{field}: {problem.remedy}'
+
+
 def decode_job(job_id: str, queue: str, body: JobBody, accepted: int) -> Job:
     """Return the job that a caller submitted at *accepted*."""
     return Job(
--- a/cyclamenshift/platform/store.py
+++ b/cyclamenshift/platform/store.py
@@ -133,7 +133,11 @@
 
     async def commit(self, transaction: Transaction) -> CommitResult:
         """Apply *transaction* atomically."""
-        body = msgspec.json.encode(encode_transaction(transaction))
+        try:
+            body = msgspec.json.encode(encode_transaction(transaction))
+        except OverflowError as error:
+            self.log.error('Transaction not encoded.', problem=str(error))
+            return self._count('commit', Unavailable(str(error)))
         result = await self._call(
             Request('rows-tx', 'POST', '/v1/rows-tx', body, PARTITION_QUEUE_MS),
         )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -107,6 +107,18 @@
     return Job(**(values | overrides))
 
 
+def step_fields(**overrides: Any) -> dict[str, Any]:
+    """Return the body of a step as the platform's callers send it."""
+    values: dict[str, Any] = {'count': 2, 'cpu': 1_000, 'memMb': 1_024}
+    return values | overrides
+
+
+def job_fields(**overrides: Any) -> dict[str, Any]:
+    """Return the body of a job as the platform's callers send it."""
+    values: dict[str, Any] = {'spec': 'text', 'steps': [step_fields()]}
+    return values | overrides
+
+
 def worker(worker_id: str = 'worker-1', **overrides: Any) -> Worker:
     """Return a worker with 8 cores."""
     values: dict[str, Any] = {
