Record that no run of a job was started yet

Cause: a job counts as running from the planning of its first run, and a successor took each running job for started. In the other direction, a job whose run ended before it was reported as running was never taken for started.

Change: the progress row has an optional field for jobs with planned runs of which none was started; builds before ignore it, and their rows are read as before. The end of a run shows that it was started. Counts from the store follow the field.

--- a/cyclamenshift/controls/job_counts.py
+++ b/cyclamenshift/controls/job_counts.py
@@ -81,7 +81,11 @@
         jobs = await self.store.scan(JOB_TABLE, service)
         progress = await self.store.scan(PROGRESS_TABLE, service)
         if isinstance(jobs, Snapshot) and isinstance(progress, Snapshot):
-            started = {row.key.name for row in progress.rows}
+            started = {
+                row.key.name
+                for row in progress.rows
+                if not row.fields.get('unstarted')
+            }
             return Counter(
                 decode_row(row, JobRow)['job'].queue
                 for row in jobs.rows
--- a/cyclamenshift/decisions/records.py
+++ b/cyclamenshift/decisions/records.py
@@ -20,7 +20,7 @@
 def row_of(progress: JobProgress) -> ProgressRow:
     """Return the row of a job; a final job needs no state of its tasks."""
     final = progress.state.final
-    return ProgressRow(
+    row = ProgressRow(
         state=progress.state,
         done=[] if final else _done_tasks(progress),
         finished=[] if final else sorted(progress.finished),
@@ -28,6 +28,9 @@
         tried=[] if final else _attempted_tasks(progress),
         ended=progress.ended,
     )
+    if progress.state is JobState.running and not progress.started:
+        row['unstarted'] = True
+    return row
 
 
 def restore(
@@ -39,7 +42,8 @@
     """Restore *progress* from *row*; its open runs become inherited."""
     progress.state = row['state']
     progress.ended = row['ended']
-    progress.started = progress.state is not JobState.queued
+    is_queued = progress.state is JobState.queued
+    progress.started = not (is_queued or row.get('unstarted', False))
     progress.finished = set(row['finished'])
     for occurrence, number, bits in row['done']:
         done = int(bits, HEXADECIMAL)
--- a/cyclamenshift/decisions/reports.py
+++ b/cyclamenshift/decisions/reports.py
@@ -76,6 +76,7 @@
         if attempt is None:
             return self._apply_untracked_end(end)
         task = attempt.task
+        task.job.started = True
         task.checkpoint = checkpoint_of(end, task)
         over = task.done or task.job.state.final
         counted = end.outcome in RECORDED_OUTCOMES and not over
--- a/cyclamenshift/jobrows.py
+++ b/cyclamenshift/jobrows.py
@@ -85,7 +85,8 @@
     ``done`` holds an occurrence, a step and a bitmap, in hexadecimal, of
     the tasks that are done.  ``finished`` lists the occurrences that are
     completely done.  ``ended`` is the time at which the job reached its
-    final state, ms since the epoch, or 0.
+    final state, ms since the epoch, or 0.  ``unstarted`` is set while runs
+    were planned and none was started; rows of earlier builds lack it.
     """
 
     state: JobState
@@ -94,6 +95,7 @@
     open: list[ActiveRun]
     tried: list[AttemptedTask]
     ended: int
+    unstarted: NotRequired[bool]
 
 
 class CancelRow(TypedDict):
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -8,7 +8,10 @@
 from cyclamenshift.decisions.crashes import Crashes
 from cyclamenshift.decisions.progress import JobProgress, Phase
 from cyclamenshift.decisions.records import restore, row_of
+from cyclamenshift.decisions.reports import ReportApplication
 from cyclamenshift.decisions.tracker import JobTracker
+from cyclamenshift.job import RunEnd, RunOutcome
+from cyclamenshift.worker import WorkerReport
 
 from .builders import WALL_START, job, queue, step
 
@@ -95,3 +98,26 @@
     assert task_after.failures == 1
     successor.record_failure(task_after, 2, INSTANCE, WALL_START)
     assert task_after.failures == 2
+
+
+def test_job_whose_run_was_only_planned_counts_as_started() -> None:
+    """A successor gave too few waiting jobs after a worker had refused."""
+    tracker, progress = started_job()
+    assert not restored(progress).started
+    attempts = progress.attempts()
+    for refused in attempts[1:]:
+        tracker.remove(refused)
+    assert not restored(progress).started
+    tracker.mark_running(attempts[0], 1)
+    assert restored(progress).started
+
+
+def test_job_whose_run_has_ended_unseen_counts_as_waiting() -> None:
+    """The end is the first that the scheduler hears of the run."""
+    tracker, progress = started_job()
+    first_run = progress.attempts()[0].run
+    end = RunEnd(1, first_run, RunOutcome.done, '')
+    report = WorkerReport(1, WALL_START, running=(), ended=(end,))
+    ReportApplication(tracker, INSTANCE, report, WALL_START).run()
+    assert progress.started
+    assert restored(progress).started
