Confirm the ownership before telling that a VM is empty

The checks of the ownership move to a module of their own.

Evidence: test_superseded_owner_tells_that_a_vm_is_empty failed before.

--- a/cyclamenshift/scheduling/job_reader.py
+++ b/cyclamenshift/scheduling/job_reader.py
@@ -23,7 +23,8 @@
 )
 from ..rows import RowType, decode_row
 from ..store import ABSENT, HistoryLost, Key, Row, Snapshot, Unavailable
-from .state import RETRY_DELAY_MS, ServiceState
+from .ownership_check import RETRY_DELAY_MS
+from .state import ServiceState
 
 #: The tables that a scheduler must know before it starts a task.
 LOADED_TABLES: Final = (JOB_TABLE, PROGRESS_TABLE, CANCEL_TABLE)
--- a/cyclamenshift/scheduling/lease_renewer.py
+++ b/cyclamenshift/scheduling/lease_renewer.py
@@ -100,7 +100,7 @@
         if result.reason is RefusalReason.replaced:
             self.state.close_session(self.session, 'replaced')
         elif result.reason is RefusalReason.fenced:
-            await self.state.check_ownership()
+            await self.state.ownership.check()
         else:
             await self._record_miss(
                 Unanswered(True, f'refused: {result.reason}')
--- a/cyclamenshift/scheduling/orders.py
+++ b/cyclamenshift/scheduling/orders.py
@@ -155,7 +155,7 @@
         elif result.reason is RefusalReason.replaced:
             self.state.close_session(self.session, 'replaced')
         elif result.reason is RefusalReason.fenced:
-            await self.state.check_ownership()
+            await self.state.ownership.check()
         elif result.reason is not RefusalReason.stale_run:
             self.session.back_off(now + FAILURE_BACKOFF_MS)
         self.state.mark_not_started(self.attempt, result.reason)
@@ -245,5 +245,5 @@
         if result.reason is RefusalReason.replaced:
             state.close_session(session, 'replaced')
         elif result.reason is RefusalReason.fenced:
-            await state.check_ownership()
+            await state.ownership.check()
     return session.closed
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -66,7 +66,7 @@
     async def run(self) -> None:
         """Load the jobs, then schedule until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.state.keep_ownership_confirmed)
+            nursery.start_soon(self.state.ownership.keep_confirmed)
             await self.job_reader.load()
             self.nursery = nursery
             self.loaded = True
@@ -117,8 +117,15 @@
         )
 
     async def vacate(self, vm_id: str, wait: int) -> bool:
-        """Vacate a VM within *wait* ms; return whether it is empty."""
-        if self.nursery is None:
+        """
+        Vacate a VM within *wait* ms; return whether it is empty.
+
+        After a pause, another scheduler may have started runs there.
+        """
+        if (
+            self.nursery is None
+            or not await self.state.ownership.is_confirmed()
+        ):
             return False
         return await vacate(self.state, vm_id, wait, self.nursery)
 
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable, Mapping
-from typing import Final, NamedTuple
+from typing import Final
 
 import trio
 
@@ -20,39 +20,18 @@
 from ..directory import Directory
 from ..duty import OwnershipTerm
 from ..job import RunEnd, RunId
-from ..jobrows import OwnerRow
 from ..logs import get_logger
-from ..rows import decode_row
 from ..settings import JobSettings
-from ..store import StoreClient, Unavailable, get_store_client
+from ..store import StoreClient, get_store_client
 from ..worker import Worker, WorkerClient, WorkerReport
 from .order_window import OrderWindow
+from .ownership_check import OwnershipCheck
 from .recorder import Recorder
-from .worker_session import WorkerSession
+from .worker_session import NOT_RESERVED, Reservation, WorkerSession
 
-#: How long the ownership may go unconfirmed, ms; small compared with
-#: ``lease_horizon``, which counts from the last confirmation.
-OWNERSHIP_CHECK_INTERVAL_MS: Final = 1_000
 #: How long a worker may be silent before it gets no new lease, ms; longer
 #: than ``REPORT_WAIT_MS``, for which it may hold a report.
 SILENCE_MS: Final = 1_500
-#: The delay before a failed store call is retried, ms.
-RETRY_DELAY_MS: Final = 100
-
-
-class Reservation(NamedTuple):
-    """
-    The reservation of a VM for an order, made at ``made_at``.
-
-    It lasts until ``until``, monotonic ms; ``made_at`` is in ms since the
-    epoch.
-    """
-
-    until: int
-    made_at: int
-
-
-NOT_RESERVED: Final = Reservation(0, 0)
 
 
 class ServiceState:
@@ -68,14 +47,16 @@
         self.order_window = order_window
         self.kernel = kernel
         self.clock = kernel.clock
-        self.term = term
+        self.ownership = OwnershipCheck(
+            kernel.clock, get_store_client(kernel), term
+        )
         self.log = get_logger(f'scheduler.{self.service}')
         self.client = kernel.get(WorkerClient)
         self.tracker = JobTracker()
         self.arrivals = Arrivals()
         self.recorder = Recorder(
             term,
-            get_store_client(kernel),
+            self.ownership.store,
             self.tracker,
             kernel,
             self.log,
@@ -87,6 +68,11 @@
         self.started_at = self.clock.now()
         self.changed = trio.Event()
 
+    @property
+    def term(self) -> OwnershipTerm:
+        """The term under which the service is owned."""
+        return self.ownership.term
+
     @property
     def service(self) -> str:
         """The name of the service."""
@@ -100,7 +86,7 @@
     @property
     def store(self) -> StoreClient:
         """The client of the store."""
-        return self.recorder.store
+        return self.ownership.store
 
     @property
     def knows_workers(self) -> bool:
@@ -144,8 +130,9 @@
         now = self.clock.now()
         if not session.lease.heard_since(now - SILENCE_MS):
             return 0
-        unconfirmed = now - self.term.confirmed_at
-        remaining = self.settings['lease_horizon'] - unconfirmed
+        remaining = (
+            self.settings['lease_horizon'] - self.ownership.unconfirmed_for()
+        )
         length = min(self.settings['lease'], remaining)
         return session.lease.grant(now, length) if length > 0 else 0
 
@@ -239,16 +226,6 @@
                 )
                 self.recorder.notify()
 
-    async def keep_ownership_confirmed(self) -> None:
-        """Check the ownership whenever no other call has confirmed it."""
-        while True:
-            await self.clock.sleep(OWNERSHIP_CHECK_INTERVAL_MS)
-            if (
-                self.clock.now() - self.term.confirmed_at
-                >= OWNERSHIP_CHECK_INTERVAL_MS
-            ):
-                await self.check_ownership()
-
     def mark_not_started(self, attempt: Attempt, reason: str) -> None:
         """Remove an attempt that was never started."""
         self.log.note(
@@ -261,18 +238,6 @@
         self.recorder.notify()
         self.wake()
 
-    async def check_ownership(self) -> None:
-        """Read the owner row; revoke the term if its fields have changed."""
-        sent_at = self.clock.now()
-        rows = await self.store.read([self.term.key])
-        if isinstance(rows, Unavailable):
-            await self.clock.sleep(RETRY_DELAY_MS)
-            return
-        row = rows[0]
-        fields = decode_row(row, OwnerRow) if row.version else None
-        if self.term.check_row(fields, row.version, 'check'):
-            self.term.confirm(sent_at)
-
     def _record_crash(
         self, session: WorkerSession, lost: Iterable[Attempt]
     ) -> None:
--- a/cyclamenshift/scheduling/vacating.py
+++ b/cyclamenshift/scheduling/vacating.py
@@ -12,8 +12,8 @@
 from ..decisions.eviction import may_evict
 from ..fleetmessages import RESERVATION_MS
 from .orders import stop_attempt
-from .state import Reservation, ServiceState
-from .worker_session import WorkerSession
+from .state import ServiceState
+from .worker_session import Reservation, WorkerSession
 
 #: How often a VM being vacated is checked, ms.
 POLL_INTERVAL_MS: Final = 100
--- a/cyclamenshift/scheduling/worker_session.py
+++ b/cyclamenshift/scheduling/worker_session.py
@@ -5,7 +5,7 @@
 The state that a scheduler keeps for one instance of a worker.
 """
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 import trio
 
@@ -27,6 +27,21 @@
     refused: bool
 
 
+class Reservation(NamedTuple):
+    """
+    The reservation of a VM for an order, made at ``made_at``.
+
+    It lasts until ``until``, monotonic ms; ``made_at`` is in ms since the
+    epoch.
+    """
+
+    until: int
+    made_at: int
+
+
+NOT_RESERVED: Final = Reservation(0, 0)
+
+
 class WorkerSession:
     """
     One instance of a worker, its lease and its reachability.
--- a/tests/test_vacating.py
+++ b/tests/test_vacating.py
@@ -9,7 +9,9 @@
 from trio.testing import MockClock
 
 from cyclamenshift.job import JobState, TaskId
+from cyclamenshift.jobrows import OwnerRow, owner_key
 from cyclamenshift.scheduling.service import ServiceScheduler
+from cyclamenshift.store import Transaction, Write
 
 from .builders import job, step
 from .standins.jobs import JobCluster
@@ -18,6 +20,8 @@
 SLOW_RECORD_MS = 3_000
 #: The time that the fleet manager allows for emptying a VM, ms.
 VACATE_MS = 500
+#: Longer than peers take to replace an owner that stands still, s.
+PAUSE_S = 4
 
 
 async def test_vm_with_unrecorded_ends_is_taken_for_empty(
@@ -101,3 +105,20 @@
     await job_cluster.wait_until(lambda: job_cluster.workers.ends)
     await trio.sleep(0.2)
     assert len(job_cluster.workers.started_runs) == 2
+
+
+async def test_superseded_owner_tells_that_a_vm_is_empty(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """It was paused, and does not know the runs of its successor."""
+    job_cluster.add_workers('desk', 1)
+    (entry,) = await job_cluster.start_all(1)
+    await trio.sleep(1)
+    scheduler = entry.scheduler.schedulers['desk']
+    assert await scheduler.vacate('desk-vm-1', 0)
+    row = OwnerRow(holder='entry-9', incarnation='other', epoch=9)
+    write = Write(owner_key('desk'), dict(row))
+    job_cluster.store.table.commit(Transaction((), (write,)))
+    autojump_clock.jump(PAUSE_S)
+    assert not await scheduler.vacate('desk-vm-1', 0)
