Remember no runs of lasting tasks that failed

A lasting job of 36 tasks that always fail made its progress row larger than the store takes.

Cause: each failed run was kept by its number, to count it once against the limit of the queue. Lasting tasks have no such limit.

Change: failures of lasting tasks are counted, their runs are not kept, and numbers in rows of earlier builds are dropped.

Evidence: test_row_grows_with_each_failure_of_a_lasting_task failed before.

--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -109,8 +109,9 @@
 
     ``run_time`` is the duration of the run that completed it, ms, 0 if
     unknown.  ``failed_at`` are the workers where a run of it failed;
-    ``failed_runs`` has the numbers of the runs counted in ``failures``, and
-    ``crashes`` tells of workers that crashed while it ran there.
+    ``failed_runs`` has the numbers of the runs counted in ``failures``, unless
+    the task is long-running, and ``crashes`` tells of workers that crashed
+    while it ran there.
     """
 
     def __init__(self, job: 'JobProgress', task_id: TaskId, step: Step) -> None:
@@ -338,11 +339,14 @@
         Count a failed run; the job fails when its task has no attempts left.
 
         Each run counts once, in whatever order the runs end.  The members of
-        a gang share one count.  A long-running task never fails its job.
+        a gang share one count.  A long-running task never fails its job, and
+        may fail any number of times, so its runs are not remembered.
         """
         task.failed_at.add(instance)
         counted = self.counting_task(task)
-        if number not in counted.failed_runs:
+        if task.step.long_running:
+            counted.failures += 1
+        elif number not in counted.failed_runs:
             counted.failed_runs.add(number)
             counted.failures += 1
         if self._exhausted(counted):
--- a/cyclamenshift/decisions/records.py
+++ b/cyclamenshift/decisions/records.py
@@ -110,6 +110,8 @@
     task.failures = attempted['failures']
     task.checkpoint = attempted['checkpoint']
     task.crashes = Crashes(*attempted.get('crashes', ()))
+    if task.step.long_running:
+        return
     task.failed_runs = set(attempted.get('failed_runs', ()))
     if task.failures and not task.failed_runs:
         # An earlier build wrote the row: any run that is over may be counted.
--- a/cyclamenshift/decisions/reports.py
+++ b/cyclamenshift/decisions/reports.py
@@ -157,5 +157,5 @@
     """Return whether the end of an untracked run was not counted before."""
     counted = task.job.counting_task(task).failed_runs
     is_new = end.run.number not in counted
-    is_over = task.done or task.job.state.final
+    is_over = task.done or task.job.state.final or task.step.long_running
     return end.outcome is RunOutcome.failed and is_new and not is_over
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -10,12 +10,16 @@
 from cyclamenshift.decisions.records import restore, row_of
 from cyclamenshift.decisions.reports import ReportApplication
 from cyclamenshift.decisions.tracker import JobTracker
-from cyclamenshift.job import RunEnd, RunOutcome
+from cyclamenshift.job import RunEnd, RunId, RunOutcome
 from cyclamenshift.worker import WorkerReport
 
 from .builders import WALL_START, job, queue, step
 
 TASKS = 6
+#: How often a lasting task fails within minutes, and the most bytes that its
+#: row may take then.
+FAILURES = 1_000
+ROW_BYTES = 1_000
 INSTANCE = ('worker-1', WALL_START)
 
 
@@ -121,3 +125,24 @@
     ReportApplication(tracker, INSTANCE, report, WALL_START).run()
     assert progress.started
     assert restored(progress).started
+
+
+def test_row_grows_with_each_failure_of_a_lasting_task() -> None:
+    """It got too large for the store, and no job was started any more."""
+    tracker = JobTracker()
+    submitted = job(steps=(step(tasks=1, long_running=True),))
+    progress = tracker.add(submitted, queue(), WALL_START)
+    assert progress
+    (task,) = progress.tasks()
+    for number in range(1, FAILURES + 1):
+        tracker.plan(task, INSTANCE, number, 0)
+        run = RunId(task.task_id, number)
+        end = RunEnd(number, run, RunOutcome.failed, '')
+        report = WorkerReport(number, WALL_START, running=(), ended=(end,))
+        ReportApplication(tracker, INSTANCE, report, WALL_START).run()
+    assert task.failures == FAILURES
+    assert len(str(row_of(progress))) < ROW_BYTES
+    (successor,) = restored(progress).tasks()
+    assert successor.failures == FAILURES
+    assert successor.last_run == FAILURES
+    assert not successor.failed_runs
