Order VMs by a recent confirmation only, and count unsettled ones as down

Cause: the renewal of a reservation and the check of the ownership ran side by side, and the renewal may take 1 s, so an order could go out by a confirmation older than 0.3 s. A maintenance that was given up after an order without an answer counted as up at once, though the order might still be carried out.

Change: the ownership is confirmed after the renewal. A VM with an unsettled order counts as down, and gets no other order, until the order can't be carried out any more and a later list shows it as up.

Evidence: test_order_goes_out_after_the_loss_of_the_fleet and test_vm_with_an_unanswered_order_counts_as_up failed before.

--- a/cyclamenshift/decisions/vm_changes.py
+++ b/cyclamenshift/decisions/vm_changes.py
@@ -40,12 +40,23 @@
         """Reserve a VM for a change that leaves it in *pool*."""
         self.busy[vm_id] = pool
 
-    def end(self, vm_id: str, now: int, *, accepted: bool) -> None:
-        """Release a VM; after a failure it has to wait for its next change."""
+    def end(self, vm_id: str) -> None:
+        """Release a VM after its order was accepted."""
         self.busy.pop(vm_id, None)
-        if not accepted:
-            self.down.pop(vm_id, None)
-            self.backoff_until[vm_id] = now + FAILURE_BACKOFF_MS
+
+    def fail(self, vm_id: str, now: int, unsettled_until: int) -> None:
+        """
+        Release a VM that gets its next change after a while.
+
+        While its order may still be carried out, it counts as down.
+        """
+        self.busy.pop(vm_id, None)
+        was_down = self.down.pop(vm_id, None) is not None
+        if was_down and unsettled_until > now:
+            self.down[vm_id] = unsettled_until
+        self.backoff_until[vm_id] = max(
+            now + FAILURE_BACKOFF_MS, unsettled_until
+        )
 
     def unavailable(self, now: int) -> set[str]:
         """Return the VMs that no change may be started for."""
--- a/cyclamenshift/managing/orders.py
+++ b/cyclamenshift/managing/orders.py
@@ -83,14 +83,19 @@
     state: FleetState, vacate: VacateCallback, order: VmOrder
 ) -> None:
     reservation = Reservation(state.clock, vacate, order.vm)
+    sender = OrderSender(state, order, reservation)
     accepted = False
     try:
         if await reservation.acquire():
-            result = await OrderSender(state, order, reservation).run()
+            result = await sender.run()
             accepted = isinstance(result, VmAccepted)
             await _record(order, state, result)
     finally:
-        state.end_change(order.vm.vm_id, accepted=accepted)
+        state.end_change(
+            order.vm.vm_id,
+            accepted=accepted,
+            unsettled_until=sender.unsettled_until,
+        )
 
 
 class OrderSender:
@@ -109,7 +114,7 @@
         self.clock = state.clock
         self.order = order
         self.reservation = reservation
-        self.give_up_at = self.clock.now() + PATIENCE_MS
+        self.give_up_at = 0
         self.unsettled_until = 0
 
     async def run(self) -> FinalResult | None:
@@ -119,6 +124,7 @@
         Retrying is safe: an order that was carried out before is accepted
         again.
         """
+        self.give_up_at = self.clock.now() + PATIENCE_MS
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.reservation.keep)
             result = await self._send_until_final()
@@ -141,12 +147,12 @@
 
         What was known when the VM was vacated may have changed since: its
         scheduler may use it again, and another manager may own the fleet.
+        The ownership is confirmed last, since that stands for less time.
         """
         while not self._given_up():
             if self.state.provider_answers:
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self.reservation.renew)
-                    owned = await self.state.confirm_ownership()
+                await self.reservation.renew()
+                owned = await self.state.confirm_ownership()
                 if not (owned and self.reservation.held):
                     return False
                 if self.reservation.covers(ORDER_MS):
--- a/cyclamenshift/managing/state.py
+++ b/cyclamenshift/managing/state.py
@@ -74,9 +74,19 @@
         self.vms = self.changes.update(self.vms, vms, sent_at)
         self.wake()
 
-    def end_change(self, vm_id: str, *, accepted: bool) -> None:
-        """Release a VM after its change, and wake the manager."""
-        self.changes.end(vm_id, self.clock.now(), accepted=accepted)
+    def end_change(
+        self, vm_id: str, *, accepted: bool, unsettled_until: int
+    ) -> None:
+        """
+        Release a VM after its change, and wake the manager.
+
+        An order may still be carried out before *unsettled_until*.
+        """
+        now = self.clock.now()
+        if accepted:
+            self.changes.end(vm_id)
+        else:
+            self.changes.fail(vm_id, now, unsettled_until)
         self.wake()
 
     def record_move(self, vm_id: str, pool: str) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,16 +13,21 @@
 
 from cyclamenshift.decisions.vm_changes import FAILURE_BACKOFF_MS
 from cyclamenshift.directory import Maintenance
+from cyclamenshift.duties.fleet import FLEET_DOMAIN
 from cyclamenshift.duty import TermEnd
 from cyclamenshift.fleetmessages import Vacate
 from cyclamenshift.job import JobState, Resources, TaskId
-from cyclamenshift.managing.orders import maintain, move
+from cyclamenshift.jobrows import OwnerRow, owner_key
+from cyclamenshift.managing.orders import SETTLE_MS, maintain, move
+from cyclamenshift.store import Transaction, Write
 
 from .builders import job, step
 from .standins.jobs import MAINTENANCE_MS, JobCluster, JobEntry
 from .standins.platform import VmOrder
 from .standins.workers import now_ms
 
+#: How long the renewal of a reservation takes, s.
+RENEWAL_S = 0.9
 #: The resources of a VM that holds two small tasks.
 SMALL_VM = Resources(2_000, 16_384)
 
@@ -367,3 +372,74 @@
         f'{prefix}"VmUnanswered"}} 2',
         f'{prefix}"VmAccepted"}} 1',
     ]
+
+
+class SlowRenewals:
+    """Renews reservations slowly, while another manager takes over."""
+
+    def __init__(self, job_cluster: JobCluster) -> None:
+        """Take the fleet over in the store of *job_cluster*."""
+        self.job_cluster = job_cluster
+
+    async def __call__(self, service: str, vm_id: str, wait: int) -> bool:
+        """Report that a VM is empty, for a renewal after a while."""
+        if not wait:
+            await trio.sleep(RENEWAL_S / 2)
+            row = OwnerRow(holder='entry-9', incarnation='other', epoch=9)
+            write = Write(owner_key(FLEET_DOMAIN), dict(row))
+            self.job_cluster.store.table.commit(Transaction((), (write,)))
+            await trio.sleep(RENEWAL_S / 2)
+        return True
+
+
+async def test_order_goes_out_after_the_loss_of_the_fleet(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """The ownership was confirmed before a renewal that took long."""
+    add_small_pools(job_cluster, spare=1)
+    (entry,) = await job_cluster.start_all(1)
+    await trio.sleep(1)
+    manager = entry.fleet.manager
+    assert manager
+    state = manager.state
+    vm = state.vms['desk-vm-1']
+    await move(state, SlowRenewals(job_cluster), vm, 'billing')
+    assert not job_cluster.platform.orders
+
+
+class LostReservation:
+    """Finds a VM empty for the first order only."""
+
+    def __init__(self) -> None:
+        """Expect a call to vacate the VM, and one before its first order."""
+        self.calls = 0
+
+    async def __call__(self, service: str, vm_id: str, wait: int) -> bool:
+        """Return whether the VM is empty."""
+        self.calls += 1
+        return self.calls <= 2
+
+
+async def test_vm_with_an_unanswered_order_counts_as_up(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """The order may still be carried out after it was given up."""
+    job_cluster.add_workers('desk', 2)
+    (entry,) = await job_cluster.start_all(1)
+    await trio.sleep(1)
+    manager = entry.fleet.manager
+    assert manager
+    state = manager.state
+    job_cluster.platform.lost_orders = 1
+    vm = state.vms['desk-vm-1']
+    maintenance = Maintenance(1, ('desk-vm-1', 'desk-vm-2'), 60_000, 1)
+    state.changes.begin(vm.vm_id, vm.pool)
+    await maintain(state, LostReservation(), vm, maintenance)
+    assert not job_cluster.platform.orders
+    await trio.sleep(2)
+    assert state.maintenance_status(maintenance).down == {'desk-vm-1'}
+    assert 'desk-vm-1' in state.unavailable()
+    await trio.sleep(SETTLE_MS / 1000)
+    assert not state.maintenance_status(maintenance).down
