--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -121,18 +121,25 @@
         self.record_file.write(json.dumps(line) + '\n')
         self.record_file.flush()
 
-    async def start(self, entries: int, pools: dict[str, int]) -> None:
+    async def start(
+        self,
+        entries: int,
+        pools: dict[str, int],
+        labels: dict[tuple[str, int], list[str]] | None = None,
+    ) -> None:
         """
         Start *entries* entry VMs, and the workers of each of *pools*.
 
-        Each pool has one queue, of its name.
+        Each pool has one queue, of its name.  A worker has the *labels* by
+        its pool and number, if any are given for it.
         """
         await self.store.server.start()
         await self.cloud.server.start()
         self.configure({pool: pool for pool in pools})
         for pool, count in pools.items():
             for number in range(count):
-                await self._start_worker(pool, number)
+                given = (labels or {}).get((pool, number))
+                await self._start_worker(pool, number, given)
         net = f'127.{random.randrange(16, 250)}.{random.randrange(1, 250)}'
         folder = pathlib.Path(self.files.name)
         for number in range(entries):
@@ -176,7 +183,9 @@
         )
         self.record('configure', version=self.version, queues=sorted(routes))
 
-    async def _start_worker(self, pool: str, number: int) -> None:
+    async def _start_worker(
+        self, pool: str, number: int, labels: list[str] | None
+    ) -> None:
         fields = {
             'id': f'{pool}-{number:02d}-7f3a91c2',
             'service': pool,
@@ -186,7 +195,7 @@
             'coldLeftMs': 0,
             'machine': f'm-{pool}-{number}',
             'capacity': {'cpu': 32_000, 'memMb': 131_072, 'gpu': 0},
-            'labels': ['a', f'r{number // 4}'],
+            'labels': labels or ['a', f'r{number // 4}'],
         }
         worker = workers.Worker(fields, self.store, self._step_of, self.record)
         self.workers.append(worker)
