--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -30,6 +30,8 @@
 METRICS_PORT = 9464
 #: Seconds until an entry VM has to answer, at its start.
 START_S = 25
+#: For how long a client submits a job again, and the pause between, seconds.
+ACCEPT_S, REPEAT_S = 10, 0.5
 #: The time limit of a case, seconds.
 LIMIT_S = 112
 
@@ -324,6 +326,21 @@
         body = {'spec': f'spec of {job}', 'steps': steps}
         return await self._ask(entry, 'POST', queue, job, body)
 
+    async def hand_in(
+        self,
+        entry: Entry,
+        queue: str,
+        job: str,
+        steps: list[dict[str, Any]],
+        seconds: list[float | None],
+    ) -> None:
+        """Submit a job as a client does: again until it is accepted."""
+        deadline = self.now() + ACCEPT_S
+        while await self.submit(entry, queue, job, steps, seconds) != 200:
+            if self.now() > deadline:
+                raise RuntimeError(f'{job} is not accepted')
+            await asyncio.sleep(REPEAT_S)
+
     async def cancel(self, entry: Entry, queue: str, job: str) -> int:
         """Cancel a job; return the status of the answer, 0 for none."""
         return await self._ask(entry, 'DELETE', queue, job)
@@ -378,6 +395,13 @@
             if run.task.startswith(f'{job}.')
         ]
 
+    def starts(self, job: str) -> int:
+        """Return how many runs of *job* have started."""
+        return sum(
+            line['what'] == 'start' and line['task'].startswith(f'{job}.')
+            for line in self.lines
+        )
+
     def ends(self, job: str, how: str) -> int:
         """Return how many runs of *job* have ended so."""
         return sum(
