--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,7 @@
-"""A cancelled job's tasks run on after its scheduler was restarted."""
+"""A job runs twice because its queue was moved to another service."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -10,70 +9,48 @@
 
 import deployment  # noqa: E402
 
+QUEUE, OLD, NEW = 'gate', 'desk', 'hall'
 JOB = deployment.job_id(1)
-QUEUE = 'desk'
-#: Five tasks that last, like those of ``payout-settle``.
-STEPS = [
-    {
-        'count': 5,
-        'cpu': 2600,
-        'memMb': 9700,
-        'perpetual': True,
-        'antiAffinity': 2,
-        'mayMiss': 1,
-    }
-]
-#: For how long a worker is cut off, seconds; the pages name 5.5.
-CUT_S = 1.5
-#: ``contactMs`` + ``cancel_ms`` + ``stopMs``, seconds: so long after the last
-#: disruption no task of a cancelled job may be at work.
-CALM_S = 3.0 + 3.0 + 0.9
-#: For how much longer the case looks, seconds.
-WATCHED_S = 20
+STEP = {'count': 3, 'cpu': 1800, 'memMb': 5100, 'estimateMs': 12_000}
+TASK_S = 12.0
+#: ``configApplyMs`` and half a second more, seconds.
+APPLY_S = 2.5
 
 
 async def run(case: deployment.Deployment) -> list[str]:
-    """Cancel a job while a worker is cut off; restart its scheduler."""
-    await case.start(3, {QUEUE: 4})
-    owner = await case.owner_of(QUEUE)
-    assert owner, 'no scheduler'
-    other = next(entry for entry in case.entries if entry is not owner)
-    assert await case.submit(other, QUEUE, JOB, STEPS, [None]) == 200
-    await asyncio.sleep(3)
-    assert len(case.running(JOB)) == 5, 'not all tasks are at work'
-    cut = next(worker for worker in case.workers if worker.running)
-    if case.trouble:
-        cut.cut = True
-        case.record('cut', worker=cut.worker_id)
-    await asyncio.sleep(0.2)
-    assert await case.cancel(other, QUEUE, JOB) == 200
-    await asyncio.sleep(0.3)
+    """
+    Submit a job, remove its queue and add it again for another service.
+
+    Then the request that submitted it arrives once more.
+    """
+    await case.start(3, {OLD: 3, NEW: 3})
+    case.configure({OLD: OLD, NEW: NEW, QUEUE: OLD})
+    await asyncio.sleep(APPLY_S)
+    first, second = case.entries[:2]
+    await case.hand_in(first, QUEUE, JOB, [STEP], [TASK_S])
+    await asyncio.sleep(1)
     if case.trouble:
-        case.signal_entry(owner, signal.SIGTERM)
-    await asyncio.sleep(CUT_S - 0.5)
-    cut.cut = False
-    cut.register()
-    case.record('cut-ends', worker=cut.worker_id)
+        case.configure({OLD: OLD, NEW: NEW})
+    await asyncio.sleep(APPLY_S)
     if case.trouble:
-        await case.restart(owner)
-    await asyncio.sleep(CALM_S)
-    return await watch(case, other)
-
-
-async def watch(
-    case: deployment.Deployment, entry: deployment.Entry
-) -> list[str]:
-    """Return the tasks that are at work for all of the watched time."""
-    first = set(case.running(JOB))
-    case.record('calm', running=sorted(first))
-    await asyncio.sleep(WATCHED_S)
-    left = first & set(case.running(JOB))
-    case.record('watched', running=sorted(left))
-    await case.state(entry, QUEUE, JOB)
-    return [
-        f'{task} of the cancelled job is at work at {worker}'
-        for worker, task, _run in sorted(left)
+        case.configure({OLD: OLD, NEW: NEW, QUEUE: NEW})
+    await asyncio.sleep(APPLY_S)
+    state = await case.state(second, QUEUE, JOB)
+    breaches = []
+    if state == '410':
+        breaches.append(f'the accepted job {JOB} is answered 410')
+    await case.submit(second, QUEUE, JOB, [STEP], [TASK_S])
+    await asyncio.sleep(3)
+    places: dict[str, list[str]] = {}
+    for worker, task, _run in case.running(JOB):
+        places.setdefault(task, []).append(worker)
+    case.record('watched', running=places)
+    breaches += [
+        f'{task} runs at {" and at ".join(workers)}'
+        for task, workers in sorted(places.items())
+        if len(workers) > 1
     ]
+    return breaches
 
 
 deployment.main(run, FOLDER)
