--- a/review/standins-2/workers.py
+++ b/review/standins-2/workers.py
@@ -64,6 +64,27 @@
         return f'{self.number:04x}{saves:012x}' if saves else ''
 
 
+class DelayedCall:
+    """The next call of a path to a worker, which the network delays."""
+
+    def __init__(self, worker: 'Worker', path: str) -> None:
+        """Delay the next call of *path* to *worker*."""
+        self.worker = worker
+        self.path = path
+        self.held: web.Request | None = None
+
+    async def deliver(self) -> None:
+        """Let the process that the worker has now execute the call."""
+        assert self.held
+        response = await self.worker.execute(self.held)
+        self.worker.record(
+            'late',
+            worker=self.worker.worker_id,
+            path=self.path,
+            status=response.status,
+        )
+
+
 class Worker:
     """
     A worker: one process after the other under one id at one address.
@@ -90,6 +111,7 @@
         self.cut = False
         self.draining = False
         self.sequence = 0
+        self.delayed: DelayedCall | None = None
         self._reset()
 
     def _reset(self) -> None:
@@ -154,10 +176,27 @@
         """Return the time on the clock of this process, ms."""
         return CLOCK_START + int(1000 * (time.monotonic() - self.started))
 
+    def delay_next(self, path: str) -> DelayedCall:
+        """Delay the next call of *path*; it gets no answer."""
+        self.delayed = DelayedCall(self, path)
+        return self.delayed
+
     async def _handle(self, request: web.Request) -> web.Response | None:
+        delayed = self.delayed
+        if delayed and delayed.path == request.path and not delayed.held:
+            delayed.held = request
+            self.record('delayed', worker=self.worker_id, path=request.path)
+            await asyncio.sleep(3600)
         if self.cut:
             await asyncio.sleep(3600)
         born = self.born
+        response = await self.execute(request)
+        if self.cut or not self.up or self.born != born:
+            return None
+        return response
+
+    async def execute(self, request: web.Request) -> web.Response:
+        """Execute a call, and return the response."""
         call = json.loads(request.body)
         expected = request.headers.get('x-expect-instance', self.worker_id)
         if expected != self.worker_id:
@@ -173,8 +212,6 @@
             response = await self._hold(call)
         else:
             response = web.answer({}, 400)
-        if self.cut or not self.up or self.born != born:
-            return None
         return response
 
     def _refuse(self, reason: str) -> web.Response:
