Start suspects beside old runs when no worker gets empty

One worker of eight is lost; a job whose tasks had just started there has nothing running 17 s later, with seven eighths of the cores free.

Cause: a task that may have crashed its worker started only on a worker without other short runs, and a task of 100 s counts as short. Each worker had one.

Ruled out: that the runs were not given up, and a full order window; the job before it, whose tasks were 500 ms old at the crash, starts again in the same pass.

Change: a run of more than 2 s is too old to be the cause of a crash. A suspect starts on a worker without short runs, else on one with young runs only, which is kept free for 2 s at most, else beside old ones. After 2 s a task after its first crash may share a worker with others of that kind, so that the loss of a rack does not start them one by one. A crash beside old runs proves as much as one alone. The same class: a suspect for a busy worker held up the others, and a full worker with few lasting tasks was chosen again and again.

--- a/cyclamenshift/decisions/placement.py
+++ b/cyclamenshift/decisions/placement.py
@@ -71,10 +71,13 @@
     tasks: Iterable[Task],
     candidates: Mapping[WorkerInstance, Candidate],
     limit: int,
+    earlier: Collection[Placement] = (),
 ) -> list[Placement]:
     """
     Return the placements of *tasks*, which are sorted by urgency.
 
+    *earlier* are those of other tasks that have not started yet.
+
     Placement is best fit: a task gets the worker with the least free cpu
     that can hold it, in its preferred rack if possible.  A task that fits
     nowhere stays queued and does not block those after it.  Placement stops
@@ -87,7 +90,8 @@
             break
         if demand_of(task) in skipped:
             continue
-        added = _place_task(task, candidates.values(), placements)
+        known = (*earlier, *placements)
+        added = _place_task(task, candidates.values(), known)
         placements.extend(added)
         skipped.update(_settled_demands(task, added))
     return placements
--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -224,8 +224,8 @@
         Returns the tasks that are given up, which fail their jobs.
         """
         ages = _ages_by_task(lost, crash.alive_at)
-        short = sum(not task.step.long_running for task in ages)
-        alone = crash.settled and short <= 1
+        causes = sum(_may_be_cause(task, age) for task, age in ages.items())
+        alone = crash.settled and causes <= 1
         given_up: list[Task] = []
         for task, age in ages.items():
             if task.done or task.job.state.final:
@@ -345,6 +345,11 @@
     }
 
 
+def _may_be_cause(task: Task, age: RunAge) -> bool:
+    """Return whether a run that got to *age* may have crashed its worker."""
+    return not task.step.long_running and age.ms <= MAX_CAUSE_AGE_MS
+
+
 def reserved_resources(step: Step) -> Resources:
     """
     Return the resources that a task of *step* reserves at its worker.
--- a/cyclamenshift/scheduling/placer.py
+++ b/cyclamenshift/scheduling/placer.py
@@ -11,6 +11,7 @@
 import trio
 
 from ..decisions.copies import SlowRun, slow_runs
+from ..decisions.isolation import IsolationWaits
 from ..decisions.placement import Candidate, Placement, may_fit, place
 from ..decisions.progress import Task, WorkerInstance
 from ..decisions.urgency import most_urgent_first
@@ -32,6 +33,7 @@
         self.nursery = nursery
         self.tracker = state.tracker
         self.clock = state.clock
+        self.isolation_waits = IsolationWaits()
         self.jobs_without_capacity: set[str] = set()
 
     def place(self) -> None:
@@ -46,7 +48,7 @@
             self.state.order_window.wake_when_ready(self.state.wake)
             return
         candidates = self._candidates(now)
-        suspects = Suspects(self.state, now)
+        suspects = Suspects(self.state, self.isolation_waits, now)
         self._start(suspects.place(candidates))
         self._place_most_urgent(suspects.others, candidates)
         if self.state.order_window.free(self.state.service):
--- a/cyclamenshift/scheduling/suspects.py
+++ b/cyclamenshift/scheduling/suspects.py
@@ -5,115 +5,199 @@
 Keeps the tasks that may crash their workers apart from the other ones.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
-from ..decisions.crashes import probation_limit
+from ..decisions.crashes import MAX_CAUSE_AGE_MS, probation_limit
+from ..decisions.demands import Demand, demand_of
+from ..decisions.isolation import (
+    MAX_ISOLATION_WAIT_MS,
+    IsolationWaits,
+    Occupancy,
+    choose_worker,
+)
 from ..decisions.placement import Candidate, Placement, place
 from ..decisions.progress import Attempt, Task, WorkerInstance
+from ..decisions.tracker import reserved_resources
 from ..decisions.urgency import most_urgent_first
+from ..job import NO_RESOURCES, Resources
 from .state import ServiceState
 
 
-class WorkerRank(NamedTuple):
+class SuspectKind(NamedTuple):
+    """What the choice of a worker depends on, which many suspects share."""
+
+    demand: Demand
+    crashes: int
+    patient: bool
+
+
+class WorkerRuns(NamedTuple):
     """
-    The sort key of a worker for a suspect; the lowest is chosen.
+    The runs at a worker: the young and the old short ones, and the lasting.
 
-    Of the empty ones that is the one that has been up for longest, as it is
-    the least likely to go down by itself.
+    ``settles_in`` is the time until the last young one is old, ms, and
+    ``young_resources`` what the young ones use.
     """
 
-    short_runs: int
-    lasting_runs: int
-    started_at: int
-    worker_id: str
+    young: int
+    old: int
+    lasting: int
+    settles_in: int
+    young_resources: Resources
 
 
 class Suspects:
     """
-    The waiting tasks of one scheduling pass that have to run alone.
+    The waiting tasks of one scheduling pass that have to run apart.
 
-    ``others`` are the tasks that may share a worker.  ``is_emptying`` is set
-    once a worker is kept free of new runs for the next suspect.
+    ``others`` are the tasks that may share a worker.  ``placements`` are those
+    of the suspects; ``probation`` has the suspects by their worker, and
+    ``held`` is the worker that is kept free of new runs for the next one.
     """
 
-    def __init__(self, state: ServiceState, now: int) -> None:
+    def __init__(
+        self, state: ServiceState, waits: IsolationWaits, now: int
+    ) -> None:
         """Sort the tasks that wait at *now*, monotonic ms."""
         self.state = state
+        self.waits = waits
         self.now = now
         self.tasks: list[Task] = []
         self.others: list[Task] = []
-        self.is_emptying = False
+        self.placements: list[Placement] = []
+        self.held: WorkerInstance | None = None
         for task in state.tracker.waiting.values():
-            alone = task.crashes.suspicious and not task.step.gang
-            (self.tasks if alone else self.others).append(task)
+            apart = task.crashes.suspicious and not task.step.gang
+            (self.tasks if apart else self.others).append(task)
+        waits.update(self.tasks, now)
+        self.probation: dict[WorkerInstance, list[Task]] = {}
+        self.runs: dict[WorkerInstance, WorkerRuns] = {}
 
     def place(
         self, candidates: dict[WorkerInstance, Candidate]
     ) -> list[Placement]:
         """
-        Place each suspect on a worker without other short runs.
+        Place each suspect apart from the tasks that are none.
 
         The workers with a suspect are taken out of *candidates*, and so is
-        the one that is being emptied for the next suspect, if any has to be.
+        the one that is held for the next suspect, if any has to be.
         """
-        on_probation = self._workers_on_probation()
-        for instance in on_probation:
-            candidates.pop(instance, None)
-        limit = self._limit(len(on_probation))
+        self._find_runs_on_probation()
+        if self.tasks:
+            self.runs = {
+                instance: self._runs_at(instance) for instance in candidates
+            }
+            self._place_all(candidates)
+        for instance in (*self.probation, self.held):
+            if instance is not None:
+                candidates.pop(instance, None)
+        return self.placements
+
+    def _place_all(self, candidates: dict[WorkerInstance, Candidate]) -> None:
         urgent = most_urgent_first(self.tasks, self.state.clock.wall_time())
-        fewest_crashes_first = sorted(urgent, key=_count_crashes)
-        placements: list[Placement] = []
-        for task in fewest_crashes_first:
-            if self.is_emptying or len(placements) >= limit:
+        window = self.state.order_window.free(self.state.service)
+        without_worker: set[SuspectKind] = set()
+        for task in sorted(urgent, key=_count_crashes):
+            if len(self.placements) >= window:
                 break
-            placements.extend(self._place_alone(task, candidates))
-        return placements
+            kind = self._kind_of(task)
+            if kind not in without_worker and not self._place(task, candidates):
+                without_worker.add(kind)
+
+    def _kind_of(self, task: Task) -> SuspectKind:
+        return SuspectKind(
+            demand_of(task),
+            task.crashes.in_a_row,
+            self.waits.waited(task, self.now) < MAX_ISOLATION_WAIT_MS,
+        )
 
-    def _limit(self, on_probation: int) -> int:
-        """Return how many suspects may be started now."""
+    def _place(
+        self, task: Task, candidates: dict[WorkerInstance, Candidate]
+    ) -> bool:
+        """Place *task* or hold a worker for it; return whether it may start."""
+        occupancies = self._occupancies(task, candidates.values())
+        choice = choose_worker(
+            task.crashes, self.waits.waited(task, self.now), occupancies
+        )
+        if choice is None:
+            return False
+        instance = choice.instance
+        if choice.held:
+            self.held = self.held or instance
+            return False
+        chosen = {instance: candidates[instance]}
+        self.placements.extend(place((task,), chosen, 1, self.placements))
+        self.probation.setdefault(instance, []).append(task)
+        self._log_company(task, instance)
+        return True
+
+    def _occupancies(
+        self, task: Task, candidates: Iterable[Candidate]
+    ) -> list[Occupancy]:
+        """Return what the runs at the workers mean for *task*."""
         sessions = self.state.sessions.values()
         workers = sum(not session.closed for session in sessions)
-        free = self.state.order_window.free(self.state.service)
-        return min(free, probation_limit(workers, on_probation))
-
-    def _place_alone(
-        self, task: Task, candidates: dict[WorkerInstance, Candidate]
-    ) -> list[Placement]:
-        """Place *task* on an empty worker, or begin to empty one for it."""
-        fitting = [
-            candidate.instance
-            for candidate in candidates.values()
-            if place((task,), {candidate.instance: _emptied(candidate)}, 1)
+        may_add = probation_limit(workers, len(self.probation)) > 0
+        return [
+            self._occupancy(task, candidate)
+            for candidate in candidates
+            if may_add or candidate.instance in self.probation
         ]
-        if not fitting:
-            return []
-        chosen = min(fitting, key=self._rank)
-        candidate = candidates.pop(chosen)
-        if self._rank(chosen).short_runs:
-            self.is_emptying = True
-            return []
-        return place((task,), {chosen: candidate}, 1)
-
-    def _rank(self, instance: WorkerInstance) -> 'WorkerRank':
-        attempts = self.state.tracker.attempts_at(instance)
-        lasting = sum(attempt.task.step.long_running for attempt in attempts)
-        worker_id, started_at = instance
-        short = len(attempts) - lasting
-        return WorkerRank(short, lasting, started_at, worker_id)
 
-    def _workers_on_probation(self) -> set[WorkerInstance]:
-        attempts = (
-            attempt
-            for attempts_by_run in (
-                self.state.tracker.attempts_by_worker.values()
-            )
-            for attempt in attempts_by_run.values()
+    def _occupancy(self, task: Task, candidate: Candidate) -> Occupancy:
+        runs = self.runs[candidate.instance]
+        suspects = self.probation.get(candidate.instance, ())
+        later = candidate.free.plus(runs.young_resources)
+        fits = self._fits(task, candidate, candidate.free)
+        return Occupancy(
+            candidate.instance,
+            runs.young,
+            runs.old,
+            runs.lasting,
+            runs.settles_in,
+            fits=fits,
+            fits_later=fits or self._fits(task, candidate, later),
+            on_probation=bool(suspects),
+            shareable=bool(suspects)
+            and all(each.crashes.in_a_row == 1 for each in suspects),
         )
-        return {
-            attempt.instance
+
+    def _fits(self, task: Task, candidate: Candidate, free: Resources) -> bool:
+        """Return whether *task* may start at a worker with *free* resources."""
+        only = {candidate.instance: Candidate(candidate.worker, free)}
+        return bool(place((task,), only, 1, self.placements))
+
+    def _runs_at(self, instance: WorkerInstance) -> WorkerRuns:
+        attempts = self.state.tracker.attempts_at(instance)
+        short = [
+            attempt
             for attempt in attempts
-            if attempt.task.crashes.on_probation(self._age(attempt))
-        }
+            if not attempt.task.step.long_running
+        ]
+        young = [
+            attempt
+            for attempt in short
+            if self._age(attempt) <= MAX_CAUSE_AGE_MS
+        ]
+        youngest = min(map(self._age, young), default=MAX_CAUSE_AGE_MS)
+        resources = NO_RESOURCES
+        for attempt in young:
+            resources = resources.plus(reserved_resources(attempt.task.step))
+        return WorkerRuns(
+            len(young),
+            len(short) - len(young),
+            len(attempts) - len(short),
+            MAX_CAUSE_AGE_MS - youngest,
+            resources,
+        )
+
+    def _find_runs_on_probation(self) -> None:
+        for attempts_by_run in self.state.tracker.attempts_by_worker.values():
+            for attempt in attempts_by_run.values():
+                if attempt.task.crashes.on_probation(self._age(attempt)):
+                    tasks = self.probation.setdefault(attempt.instance, [])
+                    tasks.append(attempt.task)
 
     def _age(self, attempt: Attempt) -> int:
         """Return the age up to which a run did not crash its worker, ms."""
@@ -121,10 +205,20 @@
         alive_at = session.alive_at(self.now) if session else None
         return attempt.age(alive_at).ms
 
-
-def _emptied(candidate: Candidate) -> Candidate:
-    """Return *candidate* as it is once its runs have ended."""
-    return Candidate(candidate.worker, candidate.worker.resources)
+    def _log_company(self, task: Task, instance: WorkerInstance) -> None:
+        """Log a suspect that starts beside other short runs."""
+        runs = self.runs[instance]
+        suspects = len(self.probation[instance]) - 1
+        if runs.old or suspects:
+            self.state.log.note(
+                'Suspect placed beside other runs.',
+                task=task.task_id,
+                crashes=task.crashes.in_a_row,
+                worker=instance[0],
+                waited_ms=self.waits.waited(task, self.now),
+                old_runs=runs.old,
+                suspects=suspects,
+            )
 
 
 def _count_crashes(task: Task) -> int:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -13,6 +13,7 @@
 
 from cyclamenshift import settings
 from cyclamenshift.decisions.call_order import ReportTiming
+from cyclamenshift.decisions.isolation import Occupancy
 from cyclamenshift.decisions.lending import PoolView
 from cyclamenshift.decisions.merging import Document
 from cyclamenshift.directory import Catalog, Queue, Service
@@ -161,6 +162,11 @@
     return ReportTiming(**(values | overrides))
 
 
+def occupancy(worker_id: str = 'worker-1', **overrides: Any) -> Occupancy:
+    """Return a worker without runs that has room."""
+    return Occupancy((worker_id, 1), **overrides)
+
+
 def run_id(job_id: str = 'job-1', **overrides: Any) -> RunId:
     """Return the first run of the first task of a job."""
     values: dict[str, Any] = {
