Find jobs at each service that their queue has had

A queue is removed and added again for another service: a GET for an accepted job is answered 410, and its request, sent once more, starts all its tasks a second time.

Cause: the key of a job's row begins with the service of its queue, which submit, GET, cancel and count took from the configuration of the moment.

Ruled out: that the earlier owner forgets the job (its tasks go on there), and that the answering entry VM has missed a configuration.

Change: rows queue//NAME list the services of each queue; each entry VM adds its own view before it accepts a job under it. GET, cancel and count go to all of them. A job that is accepted at a later service has a reference at the first one, so that entry VMs with different configurations can't both accept it. The sweeper deletes it.

--- a/cyclamenshift/controls/job_access.py
+++ b/cyclamenshift/controls/job_access.py
@@ -28,19 +28,15 @@
     StateAnswer,
     StateQuery,
 )
-from ..jobrows import (
-    CancelRow,
-    JobRow,
-    ProgressRow,
-    cancel_key,
-    job_key,
-    progress_key,
-)
+from ..jobrows import CancelRow, JobRow, cancel_key, job_key
 from ..peer import NoReply, Payload
 from ..plugin import register
+from ..queuehistory import QueueHistory
+from ..queuerows import is_reference, referenced_service
 from ..rows import decode_row
 from ..store import ABSENT, Unavailable, get_store_client
 from .job_counts import StoredJobCounts
+from .job_places import JobPlaces, Place
 from .ownership import Ownership
 from .row_writer import NotWritten, Rival, RowWriter, Written
 
@@ -76,7 +72,15 @@
     """The queue has no job with this id."""
 
 
+class LocatedJob(NamedTuple):
+    """The service that has a job, and the state of the job."""
+
+    service: str
+    state: JobState
+
+
 SubmitResult: TypeAlias = Stored | Different | NotStored | MaybeStored
+WriteResult: TypeAlias = Written | Rival | NotWritten | MaybeStored
 
 
 @register
@@ -94,6 +98,8 @@
         self.row_writer = kernel.get(RowWriter)
         self.directory = kernel.get(Directory)
         self.ownership = kernel.get(Ownership)
+        self.queue_history = kernel.get(QueueHistory)
+        self.places = JobPlaces(kernel)
         self.stored_counts = StoredJobCounts(self.clock, self.store)
 
     async def submit(self, queue: Queue, job: Job, wait: int) -> SubmitResult:
@@ -118,15 +124,8 @@
         wait: int,
     ) -> JobState | NoSuchJob | Unavailable:
         """Return the state of a job, from its owner or from the store."""
-        reply = await self.ownership.call_owner(
-            queue.service,
-            StateQuery(queue.service, job_id),
-            round(wait * OWNER_SHARE),
-        )
-        if isinstance(reply, StateAnswer) and reply.state:
-            same = reply.queue == queue.name
-            return reply.state if same else NoSuchJob()
-        return await self._read_state(queue, job_id)
+        located = await self._locate(queue, job_id, wait)
+        return located.state if isinstance(located, LocatedJob) else located
 
     async def cancel(
         self,
@@ -136,39 +135,55 @@
     ) -> Stored | NoSuchJob | Unavailable:
         """Store the cancellation of a job, and notify the owner."""
         deadline = self.clock.now() + wait
-        state = await self.state_of(queue, job_id, wait)
-        if isinstance(state, NoSuchJob | Unavailable):
-            return state
-        if state.final:
+        located = await self._locate(queue, job_id, wait)
+        if not isinstance(located, LocatedJob):
+            return located
+        if located.state.final:
             return Stored()
-        key = cancel_key(queue.service, job_id)
+        key = cancel_key(located.service, job_id)
         row = CancelRow(asked=self.clock.wall_time())
         result: Written | Rival | NotWritten | None = None
         with self.clock.move_on_after(self.clock.remaining(deadline)):
             result = await self.row_writer.write(key, ABSENT, row)
         if result is None or isinstance(result, NotWritten):
             return Unavailable('The cancel could not be stored.')
-        notification = JobCancelled(queue.service, job_id)
-        self.ownership.notify_owner(queue.service, notification)
+        notification = JobCancelled(located.service, job_id)
+        self.ownership.notify_owner(located.service, notification)
         return Stored()
 
     async def count_waiting(
         self,
         queue: Queue,
         wait: int,
+    ) -> int | Unavailable:
+        """Return the number of jobs of *queue* that have not started."""
+        deadline = self.clock.now() + wait
+        total = 0
+        for service in self.queue_history.services_of(queue):
+            remaining = self.clock.remaining(deadline)
+            count = await self._count_at(service, queue.name, remaining)
+            if isinstance(count, Unavailable):
+                return count
+            total += count
+        return total
+
+    async def _count_at(
+        self, service: str, queue_name: str, wait: int
     ) -> int | Unavailable:
         """
-        Return the number of jobs of *queue* that have not started.
+        Return how many jobs of a queue have not started at *service*.
 
         The store is scanned only where no owner is known.  A scan is large,
         and scans by many entry VMs would slow down a busy owner further.
         """
-        if self.ownership.owner_of(queue.service) is None:
+        if self.ownership.owner_of(service) is None:
             with self.clock.move_on_after(wait):
-                return await self.stored_counts.count_waiting(queue)
+                return await self.stored_counts.count_waiting(
+                    service, queue_name
+                )
             return Unavailable('The jobs could not be read in time.')
-        query = CountQuery(queue.service, queue.name)
-        reply = await self.ownership.call_owner(queue.service, query, wait)
+        query = CountQuery(service, queue_name)
+        reply = await self.ownership.call_owner(service, query, wait)
         if isinstance(reply, CountAnswer) and reply.owned:
             return reply.waiting
         return Unavailable('The owner of the service did not answer.')
@@ -184,18 +199,33 @@
                 'the store can not be reached',
                 SUBMIT_RETRY_AFTER_MS,
             )
-        with self.clock.move_on_after(wait):
-            return _submit_result(
-                await self._write(queue.service, job, wait), job
+        deadline = self.clock.now() + wait
+        if not await self.queue_history.wait_for(queue, wait):
+            return NotStored(
+                'the queue is not recorded yet', SUBMIT_RETRY_AFTER_MS
             )
+        remaining = self.clock.remaining(deadline)
+        with self.clock.move_on_after(remaining):
+            return _submit_result(await self._store(queue, job, remaining), job)
         return MaybeStored('the store did not answer in time')
 
+    async def _store(self, queue: Queue, job: Job, wait: int) -> WriteResult:
+        """Store *job* at the service of *queue*, unless another one has it."""
+        place = await self.places.choose(queue, job)
+        if not isinstance(place, Place):
+            return place
+        result = await self._write(place.service, job, wait)
+        if isinstance(result, Rival) and is_reference(result.row):
+            service = referenced_service(result.row)
+            return await self._write(service, job, wait)
+        return result
+
     async def _write(
         self,
         service: str,
         job: Job,
         wait: int,
-    ) -> Written | Rival | NotWritten | MaybeStored:
+    ) -> WriteResult:
         """
         Have the owner of *service* write the row, or else write it here.
 
@@ -216,28 +246,27 @@
             return MaybeStored('the owner of the service did not answer')
         return result
 
-    async def _read_state(
+    async def _locate(
         self,
         queue: Queue,
         job_id: str,
-    ) -> JobState | NoSuchJob | Unavailable:
-        rows = await self.store.read(
-            [
-                job_key(queue.service, job_id),
-                progress_key(queue.service, job_id),
-            ],
+        wait: int,
+    ) -> LocatedJob | NoSuchJob | Unavailable:
+        """Find a job at the owner of its queue's service, or in the store."""
+        reply = await self.ownership.call_owner(
+            queue.service,
+            StateQuery(queue.service, job_id),
+            round(wait * OWNER_SHARE),
         )
-        if isinstance(rows, Unavailable):
-            return rows
-        job, progress = rows
-        if (
-            not job.version
-            or decode_row(job, JobRow)['job'].queue != queue.name
-        ):
+        if isinstance(reply, StateAnswer) and reply.state:
+            if reply.queue == queue.name:
+                return LocatedJob(queue.service, reply.state)
+        found = await self.places.find(queue, job_id)
+        if isinstance(found, Unavailable):
+            return found
+        if found is None:
             return NoSuchJob()
-        if not progress.version:
-            return JobState.queued
-        return decode_row(progress, ProgressRow)['state']
+        return LocatedJob(found.service, found.state)
 
 
 def _may_be_written(reply: Payload | NoReply) -> bool:
@@ -246,9 +275,7 @@
 
 
 @singledispatch
-def _submit_result(
-    result: Written | Rival | NotWritten | MaybeStored, job: Job
-) -> SubmitResult:
+def _submit_result(result: WriteResult, job: Job) -> SubmitResult:
     """Return what the caller is told of the write of the row of *job*."""
     raise NotImplementedError(type(result).__qualname__)
 
@@ -260,6 +287,8 @@
 
 @_submit_result.register
 def _rival(result: Rival, job: Job) -> SubmitResult:
+    if is_reference(result.row):
+        return MaybeStored('another service may have the job')
     existing = decode_row(result.row, JobRow)['job']
     return Stored() if existing.same_as(job) else Different()
 
--- a/cyclamenshift/controls/job_counts.py
+++ b/cyclamenshift/controls/job_counts.py
@@ -11,8 +11,8 @@
 import trio
 
 from ..clock import Clock
-from ..directory import Queue
 from ..jobrows import JOB_TABLE, PROGRESS_TABLE, JobRow
+from ..queuerows import is_reference
 from ..rows import decode_row
 from ..store import Snapshot, StoreClient, Unavailable
 
@@ -50,16 +50,18 @@
         self.store = store
         self.services: dict[str, ServiceCounts] = {}
 
-    async def count_waiting(self, queue: Queue) -> int | Unavailable:
-        """Return the number of jobs of *queue* that have not started."""
+    async def count_waiting(
+        self, service_name: str, queue_name: str
+    ) -> int | Unavailable:
+        """Return the number of jobs of a queue that have not started."""
         asked_at = self.clock.now()
-        service = self.services.setdefault(queue.service, ServiceCounts())
+        service = self.services.setdefault(service_name, ServiceCounts())
         async with service.lock:
             if not service.answers(asked_at, self.clock.now()):
-                await self._refresh(queue.service, service)
+                await self._refresh(service_name, service)
         if isinstance(service.counts, Unavailable):
             return service.counts
-        return service.counts[queue.name]
+        return service.counts[queue_name]
 
     async def _refresh(self, name: str, service: ServiceCounts) -> None:
         """
@@ -89,6 +91,6 @@
             return Counter(
                 decode_row(row, JobRow)['job'].queue
                 for row in jobs.rows
-                if row.key.name not in started
+                if row.key.name not in started and not is_reference(row)
             )
         return Unavailable('The jobs could not be read.')
--- /dev/null
+++ b/cyclamenshift/queuerows.py
@@ -0,0 +1,50 @@
+"""
+cyclamenshift.queuerows
+=======================
+
+The rows that tell which services the queues have had, and their keys.
+"""
+
+from typing import Final, TypedDict
+
+from .rows import decode_row
+from .store import Key, Row
+
+#: The services that each queue had; written by every entry VM.
+QUEUE_TABLE: Final = 'queue'
+
+
+class QueueRow(TypedDict):
+    """
+    ``queue/NAME``: the services that a queue had, the first one first.
+
+    The jobs of the queue are at one of them.
+    """
+
+    services: list[str]
+
+
+class JobReference(TypedDict):
+    """
+    ``job/SERVICE/ID``: another service keeps the job with this id.
+
+    It stands at the first service of the job's queue, so that two entry VMs
+    with different configurations can't both accept the job.
+    """
+
+    service: str
+
+
+def queue_key(name: str) -> Key:
+    """Return the key of the row of a queue."""
+    return Key(QUEUE_TABLE, name)
+
+
+def is_reference(row: Row) -> bool:
+    """Return whether a row of the job table only refers to a service."""
+    return 'service' in row.fields
+
+
+def referenced_service(row: Row) -> str:
+    """Return the service that the job of a reference is stored at."""
+    return decode_row(row, JobReference)['service']
--- a/cyclamenshift/scheduling/job_reader.py
+++ b/cyclamenshift/scheduling/job_reader.py
@@ -21,6 +21,8 @@
     JobRow,
     ProgressRow,
 )
+from ..queuehistory import QueueHistory
+from ..queuerows import is_reference
 from ..rows import RowType, decode_row
 from ..store import ABSENT, HistoryLost, Key, Row, Snapshot, Unavailable
 from .ownership_check import RETRY_DELAY_MS
@@ -51,6 +53,7 @@
         self.clock = state.clock
         self.tracker = state.tracker
         self.directory = directory
+        self.queue_history = state.kernel.get(QueueHistory)
         self.loaded_tables: dict[str, Snapshot] = {}
         self.next_job_scan = 0
         self.versions = {JOB_TABLE: ABSENT, CANCEL_TABLE: ABSENT}
@@ -118,6 +121,8 @@
             row.key.name: row for row in self.loaded_tables[PROGRESS_TABLE].rows
         }
         for row in self.loaded_tables[JOB_TABLE].rows:
+            if is_reference(row):
+                continue
             decoded = self._decode(row, JobRow)
             if decoded:
                 progress_row = progress_rows.get(row.key.name)
@@ -137,6 +142,7 @@
         progress = self._track(stored)
         if progress is None:
             return False
+        self.queue_history.require(job.queue, self.state.service)
         if progress.suspended and not progress.state.final:
             self.suspended.add(job.job_id)
             self.state.log.note(
@@ -221,7 +227,7 @@
             self._forget(row.key)
         elif row.key.table == CANCEL_TABLE:
             self.cancel(row.key.name)
-        else:
+        elif not is_reference(row):
             decoded = self._decode(row, JobRow)
             if decoded:
                 self.add(decoded['job'])
--- a/cyclamenshift/scheduling/sweeper.py
+++ b/cyclamenshift/scheduling/sweeper.py
@@ -9,7 +9,18 @@
 
 from ..decisions.progress import JobProgress
 from ..jobrows import cancel_key, job_key, progress_key
-from ..store import Committed, Conflict, Transaction, Write
+from ..queuehistory import QueueHistory
+from ..queuerows import is_reference
+from ..store import (
+    Check,
+    Committed,
+    Conflict,
+    Key,
+    Row,
+    Transaction,
+    Unavailable,
+    Write,
+)
 from .state import ServiceState
 
 #: The time between two sweeps, ms; rows are kept for minutes.
@@ -29,6 +40,7 @@
         """Create a sweeper for the jobs of one service."""
         self.state = state
         self.clock = state.clock
+        self.queue_history = state.kernel.get(QueueHistory)
         self.retention = state.settings['keep_final'] + RETENTION_SLACK_MS
 
     async def run(self) -> None:
@@ -50,6 +62,8 @@
 
     async def _delete(self, job_ids: list[str]) -> None:
         term = self.state.term
+        if not await self._delete_references(job_ids):
+            return
         keys = [
             key_of(term.domain, job_id)
             for job_id in job_ids
@@ -72,6 +86,37 @@
             result=type(result).__name__,
         )
 
+    async def _delete_references(self, job_ids: list[str]) -> bool:
+        """
+        Delete the references to jobs, which are at other services.
+
+        The rows of the jobs are deleted after that, so that an attempt that
+        fails is made again.  Returns whether none of the references is left.
+        """
+        keys = list(filter(None, map(self._reference_key, job_ids)))
+        rows = await self.state.store.read(keys) if keys else []
+        if isinstance(rows, Unavailable):
+            return False
+        references = filter(is_reference, rows)
+        commits = [await self._delete_row(row) for row in references]
+        return all(commits)
+
+    async def _delete_row(self, row: Row) -> bool:
+        deletion = Transaction(
+            (Check(row.key, row.version),), (Write(row.key, None),)
+        )
+        result = await self.state.store.commit(deletion)
+        return isinstance(result, Committed)
+
+    def _reference_key(self, job_id: str) -> Key | None:
+        """Return where the reference to a job is, None if it has none."""
+        progress = self.state.tracker.jobs[job_id]
+        queue = progress.job.queue
+        services = self.queue_history.records.services_of(queue)
+        if not services or services[0] == self.state.service:
+            return None
+        return job_key(services[0], job_id)
+
 
 def _may_delete(progress: JobProgress) -> bool:
     """Return whether a job is final and has no active attempts."""
--- a/tests/standins/fakes.py
+++ b/tests/standins/fakes.py
@@ -54,6 +54,7 @@
     Transaction,
     Unavailable,
     Uncertain,
+    Write,
 )
 from cyclamenshift.table import Table
 
@@ -105,6 +106,10 @@
         self.scan_ms = 0
         self._busy_until: dict[str, float] = {}
 
+    def write_row(self, write: Write) -> None:
+        """Write a row without a condition, as another program would."""
+        self.table.commit(Transaction((), (write,)))
+
     def keep_busy(self, partition: str, duration: float) -> None:
         """Let other transactions keep *partition* busy for *duration* s."""
         self._busy_until[partition] = trio.current_time() + duration
--- a/tests/test_job_queries.py
+++ b/tests/test_job_queries.py
@@ -63,7 +63,8 @@
 ) -> None:
     with trio.move_on_after(CALLER_TIMEOUT_MS / 1000):
         stored_counts = entry.job_access.stored_counts
-        counts.append(await stored_counts.count_waiting(queue))
+        count = await stored_counts.count_waiting(queue.service, queue.name)
+        counts.append(count)
 
 
 async def _tell_state_slowly(
--- a/tests/test_take_over.py
+++ b/tests/test_take_over.py
@@ -32,14 +32,6 @@
 NOTICE_S = 2
 
 
-def write_row(
-    job_cluster: JobCluster, key: Key, fields: dict[str, object]
-) -> None:
-    """Write a row without a condition."""
-    write = Write(key, fields)
-    job_cluster.store.table.commit(Transaction((), (write,)))
-
-
 async def test_superseded_owner_stops_loading(
     job_cluster: JobCluster,
     autojump_clock: MockClock,
@@ -52,7 +44,7 @@
     await job_cluster.wait_until(lambda: 'desk' in successor.ownership.terms)
     superseded = successor.scheduler.schedulers['desk']
     row = OwnerRow(holder='entry-9', incarnation='other', epoch=9)
-    write_row(job_cluster, owner_key('desk'), dict(row))
+    job_cluster.store.write_row(Write(owner_key('desk'), dict(row)))
     await trio.sleep(NOTICE_S)
     assert successor.scheduler.schedulers.get('desk') is not superseded
 
@@ -108,10 +100,14 @@
     """One invalid row ended the scheduler, and its successor never loaded."""
     job_cluster.add_workers('desk', 1)
     await job_cluster.start_all(2)
-    write_row(job_cluster, job_key('desk', 'invalid'), {'job': 'text'})
+    job_cluster.store.write_row(
+        Write(job_key('desk', 'invalid'), {'job': 'text'})
+    )
     await trio.sleep(NOTICE_S)
     job_cluster.kill(job_cluster.owner('desk'))
-    write_row(job_cluster, progress_key('desk', 'job-2'), {'state': 'text'})
+    job_cluster.store.write_row(
+        Write(progress_key('desk', 'job-2'), {'state': 'text'})
+    )
     await job_cluster.wait_until(job_cluster.all_owned)
     submitted = job()
     (entry,) = job_cluster.entries.values()
@@ -153,7 +149,7 @@
     schedulers = job_cluster.entries['entry-1'].scheduler.schedulers
     reader = schedulers['desk'].job_reader
     key = Key(CANCEL_TABLE, 'unknown', 'desk')
-    write_row(job_cluster, key, {'asked': 0})
+    job_cluster.store.write_row(Write(key, {'asked': 0}))
     await job_cluster.wait_until(lambda: reader.pending_cancellations)
     write = Write(key, None)
     job_cluster.store.table.commit(Transaction((), (write,)))
