Write job rows in transactions that the store accepts

A job that can never be stored gets 503 each time it is repeated.

The writer of rows bounds the number of rows in a transaction and not their size, and settles all of them by one rejection.

Change: a transaction takes as many rows as its size allows; after a rejection its rows are written one by one. A job whose row is larger than the store takes is answered with 400 at once.

Evidence: test_large_jobs_at_once_are_refused and test_row_that_is_never_accepted_holds_up_others failed before; before, test_job_that_can_never_be_stored_is_asked_for_again got NotStored.

--- a/cyclamenshift/controls/job_access.py
+++ b/cyclamenshift/controls/job_access.py
@@ -62,6 +62,12 @@
     retry_after: int
 
 
+class Unstorable(NamedTuple):
+    """The job can never be stored; ``reason`` tells the caller why."""
+
+    reason: str
+
+
 class MaybeStored(NamedTuple):
     """The job may have been accepted; the caller should submit it again."""
 
@@ -79,7 +85,9 @@
     state: JobState
 
 
-SubmitResult: TypeAlias = Stored | Different | NotStored | MaybeStored
+SubmitResult: TypeAlias = (
+    Stored | Different | NotStored | MaybeStored | Unstorable
+)
 WriteResult: TypeAlias = Written | Rival | NotWritten | MaybeStored
 
 
@@ -100,6 +108,7 @@
         self.ownership = kernel.get(Ownership)
         self.queue_history = kernel.get(QueueHistory)
         self.places = JobPlaces(kernel)
+        self.row_limit = kernel.settings['store']['row_limit']
         self.stored_counts = StoredJobCounts(self.clock, self.store)
 
     async def submit(self, queue: Queue, job: Job, wait: int) -> SubmitResult:
@@ -194,6 +203,8 @@
         job: Job,
         wait: int,
     ) -> SubmitResult:
+        if self.store.size_of(JobRow(job=job)) > self.row_limit:
+            return Unstorable('too large to be stored; use several jobs')
         if not self.store.usable:
             return NotStored(
                 'the store can not be reached',
--- a/cyclamenshift/controls/row_writer.py
+++ b/cyclamenshift/controls/row_writer.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from typing import ClassVar, NamedTuple, cast
+from typing import ClassVar, Final, NamedTuple, cast
 
 import trio
 
@@ -22,6 +22,7 @@
     Conflict,
     Fields,
     Key,
+    Rejected,
     Row,
     Transaction,
     Uncertain,
@@ -33,6 +34,9 @@
 #: doubles up to the maximum, so that retries don't overload a slow store.
 RETRY_DELAY_MS = 100
 MAX_RETRY_DELAY_MS = 400
+#: The part of the size of a transaction that the rows may take; keys and
+#: versions take the rest.
+ROWS_SHARE: Final = 0.8
 
 
 @register_payload
@@ -138,7 +142,7 @@
             self.next_commit_at[partition] = self.clock.now() + self.interval
             batch = self._next_batch(self.queues[partition])
             result = await self._commit(batch)
-            if isinstance(result, (Conflict, Uncertain)):
+            if isinstance(result, (Conflict, Uncertain, Rejected)):
                 nursery = cast(trio.Nursery, self.nursery)
                 nursery.start_soon(self._resolve, batch, result)
             else:
@@ -146,8 +150,17 @@
         self.queues.pop(partition)
 
     def _next_batch(self, queue: deque[PendingWrite]) -> list[PendingWrite]:
-        limit = self.kernel.settings['store']['claim_batch']
-        return [queue.popleft() for _index in range(min(limit, len(queue)))]
+        """Take as many writes as a transaction may have, at least one."""
+        limits = self.kernel.settings['store']
+        max_size = ROWS_SHARE * limits['transaction_limit']
+        batch = [queue.popleft()]
+        size = self.store.size_of(batch[0].row)
+        while queue and len(batch) < limits['claim_batch']:
+            size += self.store.size_of(queue[0].row)
+            if size > max_size:
+                break
+            batch.append(queue.popleft())
+        return batch
 
     async def _commit(self, batch: list[PendingWrite]) -> CommitResult:
         if not batch:
@@ -172,12 +185,20 @@
                 result = await self._commit(batch)
             else:
                 result = await self._retry_until_certain(batch)
-        self._settle_batch(batch, result)
+        if isinstance(result, Rejected) and len(batch) > 1:
+            await self._write_one_by_one(batch)
+        else:
+            self._settle_batch(batch, result)
+
+    async def _write_one_by_one(self, batch: list[PendingWrite]) -> None:
+        """Write what the store accepts of a *batch* that it has rejected."""
+        for pending in batch:
+            await self._resolve([pending], await self._commit([pending]))
 
     async def _retry_until_certain(
         self,
         batch: list[PendingWrite],
-    ) -> Committed | Conflict:
+    ) -> Committed | Conflict | Rejected:
         """
         Commit *batch* again until the result is certain.
 
@@ -190,7 +211,7 @@
             await self.clock.sleep(pause)
             pause = min(pause * 2, MAX_RETRY_DELAY_MS)
             result = await self._commit(batch)
-            if isinstance(result, (Committed, Conflict)):
+            if isinstance(result, Committed | Conflict | Rejected):
                 return result
 
     def _settle_batch(
--- a/cyclamenshift/platform/responses.py
+++ b/cyclamenshift/platform/responses.py
@@ -19,6 +19,7 @@
     NoSuchJob,
     NotStored,
     Stored,
+    Unstorable,
 )
 from ..job import JobState
 from ..store import Unavailable
@@ -48,6 +49,11 @@
     return service_unavailable(result.reason, result.retry_after)
 
 
+@respond.register
+def _unstorable(result: Unstorable) -> Response:
+    return bad_request(f'steps: {result.reason}')
+
+
 @respond.register
 def _maybe_stored(result: MaybeStored) -> Response:
     return empty_response(HTTPStatus.GATEWAY_TIMEOUT)
--- a/tests/test_submission.py
+++ b/tests/test_submission.py
@@ -17,13 +17,16 @@
     NotStored,
     Stored,
     SubmitResult,
+    Unstorable,
 )
+from cyclamenshift.controls.row_writer import NotWritten, Written
 from cyclamenshift.job import Job, JobState
 from cyclamenshift.jobrows import job_key
-from cyclamenshift.store import ABSENT
+from cyclamenshift.store import ABSENT, Key
 
 from .builders import job
 from .standins.jobs import WAIT_MS, JobCluster, JobEntry
+from .standins.store_limits import MAX_ROW_SIZE
 
 #: The time within which a caller must get an answer that is known, s.
 ANSWER_S = 0.5
@@ -123,3 +126,56 @@
     with trio.fail_after(ANSWER_S):
         result = await submit(job_cluster, caller, job())
     assert isinstance(result, NotStored)
+
+
+async def test_large_jobs_at_once_are_refused(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """Each fitted into a row, but all of them not into one transaction."""
+    await job_cluster.start_all(1)
+    (entry,) = job_cluster.entries.values()
+    submitted = [
+        job(f'job-{number}', spec='x' * (MAX_ROW_SIZE // 2))
+        for number in range(50)
+    ]
+    async with trio.open_nursery() as nursery:
+        for each in submitted:
+            nursery.start_soon(job_cluster.submit, entry, each)
+
+
+async def write_row(
+    entry: JobEntry, name: str, text: str, written: dict[str, object]
+) -> None:
+    """Write a row of *text*, and keep the result in *written*."""
+    key = Key('table', name, 'desk')
+    writer = entry.job_access.row_writer
+    written[name] = await writer.write(key, ABSENT, {'text': text})
+
+
+async def test_row_that_is_never_accepted_holds_up_others(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """All rows of its transaction were refused with it."""
+    await job_cluster.start_all(1)
+    (entry,) = job_cluster.entries.values()
+    written: dict[str, object] = {}
+    async with trio.open_nursery() as nursery:
+        for name in ('first', 'sound', 'large', 'other'):
+            text = 'x' * MAX_ROW_SIZE if name == 'large' else ''
+            nursery.start_soon(write_row, entry, name, text, written)
+    assert isinstance(written.pop('large'), NotWritten)
+    assert all(isinstance(each, Written) for each in written.values())
+
+
+async def test_job_that_can_never_be_stored_is_asked_for_again(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+) -> None:
+    """It got 503 each time, as if the store could not be reached."""
+    await job_cluster.start_all(1)
+    (entry,) = job_cluster.entries.values()
+    large = job(spec='x' * MAX_ROW_SIZE)
+    result = await submit(job_cluster, entry, large)
+    assert isinstance(result, Unstorable)
