Drop a message to a peer that can't be sent, not the connection

Messages are packed when they are sent, all queued ones at once, and one that fails ends the task that sends.

Change: such a message is dropped with an error in the log, the others are sent. The forecast is limited to what the tasks of one job can have.

Evidence: test_message_that_can_not_be_sent_ends_the_connection (two cases) and test_forecast_of_the_largest_job_can_not_be_sent failed before.

--- a/cyclamenshift/decisions/arrivals.py
+++ b/cyclamenshift/decisions/arrivals.py
@@ -9,11 +9,14 @@
 from typing import Final
 
 from ..job import NO_RESOURCES, Job, Resources
+from .admission import AMOUNT_LIMIT, TASK_LIMIT
 from .schedules import work_of
 
 #: The window in which arrivals are counted, ms: short enough to follow a
 #: burst, long enough to hold several jobs.
 WINDOW_MS: Final = 800
+#: The most of a resource that is forecast: what the tasks of one job can have.
+MAX_DEMAND: Final = AMOUNT_LIMIT * TASK_LIMIT
 
 
 class Arrivals:
@@ -39,4 +42,6 @@
         work = NO_RESOURCES
         for _at, job_work in self.recent:
             work = work.plus(job_work)
-        return Resources(*(amount // WINDOW_MS for amount in work))
+        return Resources(
+            *(min(MAX_DEMAND, amount // WINDOW_MS) for amount in work)
+        )
--- a/cyclamenshift/peers/connection.py
+++ b/cyclamenshift/peers/connection.py
@@ -17,16 +17,21 @@
 from ..clock import MS_PER_SECOND, Clock
 from ..errors import ProtocolError
 from ..loadmetrics import LoadMetrics
+from ..logs import get_logger
 from ..peer import Call, Message, Notification, Reply
 from ..settings import PeerSettings
 from .frames import Decoder, encode
 
+log = get_logger('peers')
+
 #: The exceptions raised when a connection is lost.
 CONNECTION_ERRORS = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
     trio.TooSlowError,
 )
+#: The exceptions raised for a message that can't be packed.
+UNENCODABLE_ERRORS: Final = (OverflowError, ValueError)
 #: Size of the receive buffer, bytes.
 RECEIVE_BYTES = 65_536
 #: A connection is lost if sending this many bytes takes ``peers.silence``.
@@ -61,7 +66,8 @@
         self.silence_timeout_s = settings['silence'] / MS_PER_SECOND
         self.last_received_at = clock.now()
         self.load = load
-        self._decoder = Decoder(settings['frame_limit'])
+        self.frame_limit = settings['frame_limit']
+        self._decoder = Decoder(self.frame_limit)
         self._messages: Iterator[Message] = iter(())
         self._queue: deque[tuple[int, Message]] = deque()
         self._wakeup = trio.Event()
@@ -128,11 +134,27 @@
             await self._flushed.wait()
 
     def _encode(self, queued: tuple[int, Message]) -> bytes:
+        """Return the frame of a message, nothing if it can't be sent."""
         _enqueued_at, message = queued
-        frame = encode(message)
+        try:
+            frame = encode(message)
+        except UNENCODABLE_ERRORS as error:
+            return self._drop(message, repr(error))
+        if len(frame) > self.frame_limit:
+            return self._drop(message, f'{len(frame)} bytes')
         self.load.sent_bytes.increase(_kind(message), len(frame))
         return frame
 
+    def _drop(self, message: Message, problem: str) -> bytes:
+        """Leave out a message, so that the others are sent."""
+        log.error(
+            'Message to a peer dropped.',
+            kind=_kind(message),
+            problem=problem,
+            frame_limit=self.frame_limit,
+        )
+        return b''
+
     def _measure_wait(self, queued: Iterable[tuple[int, Message]]) -> None:
         now = self.clock.now()
         for enqueued_at, _message in queued:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -17,6 +17,7 @@
 from cyclamenshift.decisions.lending import PoolView
 from cyclamenshift.decisions.merging import Document
 from cyclamenshift.directory import Catalog, Queue, Service
+from cyclamenshift.fleetmessages import PoolReport
 from cyclamenshift.http1 import Address
 from cyclamenshift.job import (
     NO_RESOURCES,
@@ -291,6 +292,18 @@
     return PoolView(**(values | overrides))
 
 
+def pool_report(**overrides: Any) -> PoolReport:
+    """Return the report of a pool without VMs."""
+    values: dict[str, Any] = {
+        'service': 'desk',
+        'epoch': 1,
+        'vms': (),
+        'waiting': NO_RESOURCES,
+        'expected': NO_RESOURCES,
+    }
+    return PoolReport(**(values | overrides))
+
+
 def vm_row(**overrides: Any) -> VmRow:
     """Return the row of a serving VM."""
     values: dict[str, Any] = {
