Bound what one task or queue adds to a row or a key

Seen, in tests: a task that fails 20,000 times, of 10^6 allowed, or that saves a long checkpoint makes its row too large; a queue with a name of 1,000 bytes keeps all new queues from being recorded, so their jobs are refused.

What comes from workers and from the configuration had no bound where it is written.

Change: a checkpoint of more than 4,000 characters is left out, and the task resumes from the one before. A row lists up to 100 failed runs of a task; beyond, each run that is over counts as failed, as for rows of earlier builds. The key of a queue with a long name is a digest. The stand-in of the store checks the length of keys.

Evidence: test_checkpoint_that_no_row_can_hold_is_kept, test_row_grows_with_each_failure_of_a_task_with_many_attempts and test_queue_with_a_long_name_stops_all_new_ones failed before.

--- a/cyclamenshift/controls/queue_recorder.py
+++ b/cyclamenshift/controls/queue_recorder.py
@@ -83,8 +83,8 @@
     def dump(self) -> Dump:
         """Return the queues with more than one service."""
         services = {
-            name: self.records.services_of(name)
-            for name in self.records.by_name
+            key.name: record.row['services']
+            for key, record in self.records.by_key.items()
         }
         return {
             'recorded': len(services),
@@ -100,8 +100,8 @@
         scanned = await self.store.scan(QUEUE_TABLE)
         if isinstance(scanned, Unavailable):
             return False
-        self.records.by_name = {
-            row.key.name: self._decode(row) for row in scanned.rows
+        self.records.by_key = {
+            row.key: self._decode(row) for row in scanned.rows
         }
         batch = self.records.missing(places)[:MAX_BATCH_QUEUES]
         recorded = not batch or await self._record(batch)
--- a/cyclamenshift/decisions/queue_records.py
+++ b/cyclamenshift/decisions/queue_records.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from ..queuerows import QueueRow, queue_key
-from ..store import ABSENT, Check, Transaction, Write
+from ..store import ABSENT, Check, Key, Transaction, Write
 
 
 class QueuePlace(NamedTuple):
@@ -30,15 +30,16 @@
 
 
 class QueueRecords:
-    """The rows of all queues, by the name of the queue."""
+    """The rows of all queues."""
 
     def __init__(self) -> None:
         """Start without rows."""
-        self.by_name: dict[str, QueueRecord] = {}
+        self.by_key: dict[Key, QueueRecord] = {}
 
     def services_of(self, name: str) -> tuple[str, ...]:
         """Return the services of a queue, the first one first."""
-        return tuple(self.by_name.get(name, NO_RECORD).row['services'])
+        record = self.by_key.get(queue_key(name), NO_RECORD)
+        return tuple(record.row['services'])
 
     def has(self, place: QueuePlace) -> bool:
         """Return whether *place* is recorded."""
@@ -55,24 +56,24 @@
         """Return the transaction that records *places*."""
         return Transaction(
             tuple(
-                Check(
-                    queue_key(name), self.by_name.get(name, NO_RECORD).version
-                )
-                for name, _service in places
+                Check(key, self.by_key.get(key, NO_RECORD).version)
+                for key in map(_key_of, places)
             ),
             tuple(
-                Write(queue_key(place.queue), self._row_with(place))
-                for place in places
+                Write(_key_of(place), self._row_with(place)) for place in places
             ),
         )
 
     def add(self, places: Iterable[QueuePlace], version: int) -> None:
         """Add *places*, which were recorded as *version*."""
         for place in places:
-            self.by_name[place.queue] = QueueRecord(
-                self._row_with(place), version
-            )
+            row = self._row_with(place)
+            self.by_key[_key_of(place)] = QueueRecord(row, version)
 
     def _row_with(self, place: QueuePlace) -> QueueRow:
         earlier = self.services_of(place.queue)
         return QueueRow(services=[*earlier, place.service])
+
+
+def _key_of(place: QueuePlace) -> Key:
+    return queue_key(place.queue)
--- a/cyclamenshift/decisions/records.py
+++ b/cyclamenshift/decisions/records.py
@@ -15,6 +15,9 @@
 
 #: The base in which the bitmap of done tasks is written.
 HEXADECIMAL: Final = 16
+#: The most failed runs of a task that its row lists.  Of a task that has more,
+#: each run that is over counts as a failed one.
+MAX_LISTED_FAILURES: Final = 100
 
 
 def row_of(progress: JobProgress) -> ProgressRow:
@@ -107,7 +110,7 @@
         failures=task.failures,
         checkpoint=task.checkpoint,
     )
-    if task.failed_runs:
+    if 0 < len(task.failed_runs) <= MAX_LISTED_FAILURES:
         attempted['failed_runs'] = sorted(task.failed_runs)
     if task.crashes.in_a_row:
         attempted['crashes'] = (task.crashes.in_a_row, task.crashes.age)
@@ -135,7 +138,7 @@
         return
     task.failed_runs = set(attempted.get('failed_runs', ()))
     if task.failures and not task.failed_runs:
-        # An earlier build wrote the row: any run that is over may be counted.
+        # The row does not list them, so any run that is over may be counted.
         task.failed_runs = set(range(1, task.last_run + 1))
 
 
--- a/cyclamenshift/platform/reports.py
+++ b/cyclamenshift/platform/reports.py
@@ -42,6 +42,11 @@
 )
 #: The number of a run or of an end.
 Number: TypeAlias = Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
+#: The longest checkpoint, characters: as many as a job's specification has.
+CHECKPOINT_LIMIT: Final = 4_000
+#: A checkpoint.  A longer one is left out, since the row of its task could not
+#: be stored; the task resumes from an earlier one.
+Checkpoint: TypeAlias = Annotated[str, Meta(max_length=CHECKPOINT_LIMIT)]
 
 #: The response to ``hold``, the platform's call that renews a lease.
 ReportBody = TypedDict(
@@ -114,7 +119,7 @@
         return None
     return RunStatus(
         run,
-        _decode_detail(entry[2:3], str, ''),
+        _decode_detail(entry[2:3], Checkpoint, ''),
         _decode_detail(entry[3:4], Amount, 0),
         _decode_detail(entry[4:5], Amount, 0),
     )
@@ -131,7 +136,7 @@
         msgspec.convert(entry[0] if entry else None, Number),
         _decode_run(entry[1:3]) or UNNAMED_RUN,
         _decode_detail(entry[3:4], RunOutcome, RunOutcome.lease_expired),
-        _decode_detail(entry[4:5], str, ''),
+        _decode_detail(entry[4:5], Checkpoint, ''),
     )
 
 
--- a/cyclamenshift/queuerows.py
+++ b/cyclamenshift/queuerows.py
@@ -5,6 +5,7 @@
 The rows that tell which services the queues have had, and their keys.
 """
 
+import hashlib
 from typing import Final, TypedDict
 
 from .rows import decode_row
@@ -12,6 +13,8 @@
 
 #: The services that each queue had; written by every entry VM.
 QUEUE_TABLE: Final = 'queue'
+#: The longest name of a queue that is a key, bytes; the store takes 200.
+MAX_NAME_SIZE: Final = 200
 
 
 class QueueRow(TypedDict):
@@ -36,7 +39,10 @@
 
 
 def queue_key(name: str) -> Key:
-    """Return the key of the row of a queue."""
+    """Return the key of the row of a queue; that of a long name is a digest."""
+    encoded = name.encode()
+    if len(encoded) > MAX_NAME_SIZE:
+        return Key(QUEUE_TABLE, hashlib.sha256(encoded).hexdigest())
     return Key(QUEUE_TABLE, name)
 
 
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -39,10 +39,10 @@
     worker,
 )
 from .fakes import EntryGroup, FakePeer, run_in_scope
-from .shared_store import FakeStore
 from .platform import FakeDirectory, FakeVmProvider, SharedPlatform, VmOrder
-from .worker_client import FakeWorkerClient
+from .shared_store import FakeStore
 from .sim_worker import now_ms
+from .worker_client import FakeWorkerClient
 from .workers import SimWorkers
 
 #: How long a VM is down for maintenance, ms.
--- a/tests/standins/store_limits.py
+++ b/tests/standins/store_limits.py
@@ -10,6 +10,8 @@
 
 #: The most checks and writes of a transaction.
 MAX_TRANSACTION_ENTRIES = 100
+#: The longest text of a key, bytes.
+MAX_KEY_SIZE = 200
 #: The largest value of a row, and of all values of a transaction, bytes.
 MAX_ROW_SIZE = 65_536
 MAX_TRANSACTION_SIZE = 1_000_000
@@ -20,6 +22,9 @@
     entries = len(transaction.checks) + len(transaction.writes)
     if entries > MAX_TRANSACTION_ENTRIES:
         return 'too many entries'
+    names = [text for write in transaction.writes for text in write.key]
+    if any(len(text.encode()) > MAX_KEY_SIZE for text in names):
+        return 'a key is too long'
     sizes = [
         size_of_value(write.fields)
         for write in transaction.writes
--- a/tests/standins/worker_client.py
+++ b/tests/standins/worker_client.py
@@ -29,8 +29,8 @@
     WorkerReport,
 )
 
-from .worker_faults import next_delay
 from .sim_worker import SimWorker, now_ms
+from .worker_faults import next_delay
 from .workers import SimWorkers
 
 #: The duration of an order with its response, ms.
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -29,8 +29,8 @@
 from cyclamenshift.scheduling.lease_renewer import LeaseRenewer
 
 from .builders import catalog, job, step
-from .standins.shared_store import STORE_CALL_MS
 from .standins.jobs import JobCluster, JobEntry
+from .standins.shared_store import STORE_CALL_MS
 
 #: The duration of a transaction in a slow store, and how long a caller waits
 #: for its submission, ms.
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -33,8 +33,8 @@
 )
 
 from .builders import WALL_START, configuration_fields, entry_settings
-from .standins.shared_store import FakeStore, SharedStore
 from .standins.jobs import JobCluster
+from .standins.shared_store import FakeStore, SharedStore
 from .standins.slow_link import SlowLinkClient
 
 CONFIG_ROW = Key(OPERATOR_TABLE, CONFIG_KEY)
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -9,8 +9,8 @@
     RETURN_DELAY_MS,
     UNUSED_DELAY_MS,
     PoolBalancer,
-    ProposedMove,
     PoolView,
+    ProposedMove,
 )
 from cyclamenshift.job import Resources
 
--- a/tests/test_lost_history.py
+++ b/tests/test_lost_history.py
@@ -21,8 +21,8 @@
 from cyclamenshift.store import Key, Transaction, Write
 
 from .builders import WALL_START, entry_settings, job, step
-from .standins.shared_store import FakeStore, SharedStore
 from .standins.jobs import JobCluster
+from .standins.shared_store import FakeStore, SharedStore
 
 #: How long the store drops its history, s, and the pause between two drops, s.
 SPAN_S = 10
--- a/tests/test_moved_queues.py
+++ b/tests/test_moved_queues.py
@@ -291,3 +291,17 @@
         await state_at(entries[1], f'job-{number}', OLD)
     assert job_cluster.store.scans[QUEUE_TABLE] == before
     assert count_job_rows(job_cluster) == 20
+
+
+async def test_queue_with_a_long_name_stops_all_new_ones(
+    job_cluster: JobCluster, autojump_clock: MockClock
+) -> None:
+    """Its key was too long, and it was recorded together with the others."""
+    long_name = queue('x' * 1_000)
+    job_cluster.add_workers('desk', 2)
+    configure(job_cluster, OLD, long_name)
+    entries = await job_cluster.start_all(1)
+    for number, at in enumerate((OLD, long_name)):
+        submitted = job(f'job-{number}', queue=at.name)
+        result = await submit(job_cluster, entries[0], submitted, at)
+        assert isinstance(result, Stored)
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -22,6 +22,7 @@
 from cyclamenshift.platform.jobs import JobBody
 from cyclamenshift.platform.registrations import WorkerBody, decode_worker
 from cyclamenshift.platform.reports import (
+    CHECKPOINT_LIMIT,
     UNNAMED_RUN,
     ReportBody,
     decode_report,
@@ -211,6 +212,19 @@
     assert isinstance(read_report([], ended), Unreadable)
 
 
+@pytest.mark.parametrize('length', [CHECKPOINT_LIMIT, CHECKPOINT_LIMIT + 1])
+def test_checkpoint_that_no_row_can_hold_is_kept(length: int) -> None:
+    """The job of its task could not be recorded any more."""
+    text = 'x' * length
+    running = ['job-1.0.0.0', 1, text, 5]
+    ended = [1, 'job-1.0.0.0', 1, 'stopped', text]
+    report = read_report([running], [ended])
+    assert isinstance(report, WorkerReport)
+    expected = text if length == CHECKPOINT_LIMIT else ''
+    assert report.running[0].checkpoint == expected
+    assert report.ended[0].checkpoint == expected
+
+
 @pytest.mark.parametrize('odd', UNNAMED_RUNS)
 def test_unnamed_run_hid_the_sound_ones(odd: list[Any]) -> None:
     """All leases lapsed; but no run may be taken as gone either."""
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -150,3 +150,18 @@
     assert successor.failures == FAILURES
     assert successor.last_run == FAILURES
     assert not successor.failed_runs
+
+
+def test_row_grows_with_each_failure_of_a_task_with_many_attempts() -> None:
+    """Each failed run was listed, up to the attempts that a queue allows."""
+    tracker = JobTracker()
+    progress = tracker.add(job(), queue(attempts=10**6), WALL_START)
+    assert progress
+    task = next(progress.tasks())
+    for number in range(1, 20_001):
+        progress.record_failure(task, number, INSTANCE, 0)
+    task.last_run = 20_000
+    assert len(str(row_of(progress))) < ROW_BYTES
+    successor = next(restored(progress).tasks())
+    assert successor.failures == task.failures
+    assert task.failed_runs == successor.failed_runs
