Stop the runs that nobody wants after a take-over

A worker is cut off for 1.5 s while a lasting job is cancelled and the owner of its service stops; the job's tasks on that worker work on for good, under leases that the new owner renews.

Cause: the successor restores the recorded runs of a job that is over, and stops none of them, as that is done when a job or a task ends.

Change: each restored run of a job or task that is over is to be stopped.

--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -96,6 +96,8 @@
             self.scheduled[progress.job.job_id] = progress
         for attempt in progress.attempts():
             self.track(attempt)
+            if _is_unwanted(attempt):
+                self.to_stop[attempt.run] = attempt
         self._enqueue(progress.tasks())
 
     def resume(
