Let jobs of a removed queue go on under a new owner

A job of two steps is at work, its queue is removed, its owner is replaced: the second step never starts, with all workers free. Where the queue was the only one of its service, nobody owns that.

The successor takes the priority of a queue and the failures that it allows from the configuration of the moment, and suspends the jobs of a queue that is not in it. An owner that knew the queue goes on with them.

Change: the row of a queue keeps its latest rules, by the version of the configuration; a job goes on under them. A service that has had a queue, and is configured, keeps an owner. Jobs of a queue without recorded rules are suspended as before.

--- a/cyclamenshift/controls/queue_recorder.py
+++ b/cyclamenshift/controls/queue_recorder.py
@@ -12,8 +12,13 @@
 
 from ..component import Dump, Host
 from ..control import Control
-from ..decisions.queue_records import QueuePlace, QueueRecord, QueueRecords
-from ..directory import Catalog, Directory, Queue
+from ..decisions.queue_records import (
+    QueuePlace,
+    QueueRecord,
+    QueueRecords,
+    places_in,
+)
+from ..directory import Directory, Queue
 from ..errors import ProtocolError
 from ..plugin import register
 from ..queuehistory import QueueHistory
@@ -58,7 +63,7 @@
         task_status.started()
         synced: set[QueuePlace] = set()
         while True:
-            places = self.required | _places_in(self.directory.catalog)
+            places = self.required | places_in(self.directory.catalog)
             if places == synced:
                 await self.directory.wait_for_change()
             elif await self._sync(places):
@@ -129,9 +134,3 @@
             self.log.error('Invalid row in the store.', problem=str(error))
             return QueueRecord(QueueRow(services=[]), row.version)
         return QueueRecord(fields, row.version)
-
-
-def _places_in(catalog: Catalog | None) -> set[QueuePlace]:
-    """Return the places of the configured queues."""
-    queues = catalog.queues.values() if catalog else ()
-    return {QueuePlace(queue.name, queue.service) for queue in queues}
--- a/cyclamenshift/duties/scheduler.py
+++ b/cyclamenshift/duties/scheduler.py
@@ -26,6 +26,7 @@
 from ..jobrows import JobRow, job_key
 from ..peer import Peer
 from ..plugin import register
+from ..queuehistory import QueueHistory
 from ..scheduling.details import JobDetail, detail_of
 from ..scheduling.order_window import OrderWindow
 from ..scheduling.service import ServiceScheduler
@@ -46,6 +47,7 @@
         super().__init__(kernel)
         self.directory = kernel.get(Directory)
         self.row_writer = kernel.get(RowWriter)
+        self.queue_history = kernel.get(QueueHistory)
         self.order_window = OrderWindow(kernel.clock)
         self.schedulers: dict[str, ServiceScheduler] = {}
         peer = kernel.get(Peer)
@@ -61,8 +63,10 @@
         load.jobs_left_out.source = self.jobs_left_out
 
     def domains(self, catalog: Catalog) -> Iterable[str]:
-        """Return the services that have queues."""
-        return {queue.service for queue in catalog.queues.values()}
+        """Return the services that have queues, or jobs of earlier ones."""
+        with_queues = {queue.service for queue in catalog.queues.values()}
+        earlier = self.queue_history.records.services()
+        return with_queues | (earlier & catalog.services.keys())
 
     async def serve(self, term: OwnershipTerm) -> None:
         """Run the scheduler of a service until cancelled."""
--- a/cyclamenshift/queuerows.py
+++ b/cyclamenshift/queuerows.py
@@ -6,7 +6,7 @@
 """
 
 import hashlib
-from typing import Final, TypedDict
+from typing import Final, NamedTuple, NotRequired, TypedDict
 
 from .rows import decode_row
 from .store import Key, Row
@@ -17,14 +17,30 @@
 MAX_NAME_SIZE: Final = 200
 
 
+class QueueRules(NamedTuple):
+    """
+    What a queue allows its jobs, as configured in ``version``.
+
+    The other fields are those of a ``Queue``.
+    """
+
+    version: int
+    priority: int
+    attempts: int
+    stretch: float
+    allowance: int
+
+
 class QueueRow(TypedDict):
     """
     ``queue/NAME``: the services that a queue had, the first one first.
 
-    The jobs of the queue are at one of them.
+    The jobs of the queue are at one of them.  ``rules`` are the latest ones,
+    under which they go on once the queue is removed.
     """
 
     services: list[str]
+    rules: NotRequired[QueueRules]
 
 
 class JobReference(TypedDict):
--- a/cyclamenshift/scheduling/job_reader.py
+++ b/cyclamenshift/scheduling/job_reader.py
@@ -189,8 +189,10 @@
                 self.suspended.discard(job_id)
 
     def _queue(self, name: str) -> Queue | None:
+        """Return a queue as configured, or as it was before its removal."""
         catalog = self.directory.catalog
-        return catalog.queues.get(name) if catalog else None
+        configured = catalog.queues.get(name) if catalog else None
+        return configured or self.queue_history.records.last_known(name)
 
     async def _poll(self, table: str) -> None:
         version = self.versions[table]
--- a/tests/test_moved_queues.py
+++ b/tests/test_moved_queues.py
@@ -18,7 +18,12 @@
 from cyclamenshift.directory import Queue
 from cyclamenshift.job import Job, JobState, TaskId
 from cyclamenshift.jobrows import JOB_TABLE, JobRow, job_key
-from cyclamenshift.queuerows import QUEUE_TABLE, queue_key
+from cyclamenshift.queuerows import (
+    QUEUE_TABLE,
+    QueueRow,
+    QueueRules,
+    queue_key,
+)
 from cyclamenshift.store import Write
 
 from .builders import WALL_START, catalog, job, queue, step
@@ -305,3 +310,22 @@
         submitted = job(f'job-{number}', queue=at.name)
         result = await submit(job_cluster, entries[0], submitted, at)
         assert isinstance(result, Stored)
+
+
+async def test_older_configuration_replaces_the_rules_of_a_queue(
+    job_cluster: JobCluster, autojump_clock: MockClock
+) -> None:
+    """An entry VM that is behind recorded what it had."""
+    entries = await start(job_cluster, 1)
+    history = entries[0].job_access.queue_history
+    newer = QueueRules(9, priority=1, attempts=7, stretch=1, allowance=0)
+    row = QueueRow(services=['desk'], rules=newer)
+    job_cluster.store.write_row(Write(queue_key('checks'), row))
+    configure(job_cluster, queue(attempts=3))
+    await trio.sleep(APPLY_S)
+    known = history.records.last_known('checks')
+    assert known and (known.attempts, known.priority) == (7, 1)
+    configure(job_cluster, queue('charges', service='billing', attempts=5))
+    await trio.sleep(APPLY_S)
+    known = history.records.last_known('charges')
+    assert known and known.attempts == 5
