Keep the counted failures of a gang over a take-over

A gang fails, its first member is still listed as active, and the owner is replaced: the same failure counts twice, so the job fails one attempt too early.

Cause: a restored active run was taken out of the failed runs, for rows of builds that don't list them. The members of a gang share the count of the first one.

Change: that is done only where the row lists no failed runs.

Evidence: test_failure_of_a_gang_counts_twice_after_a_take_over failed before.

--- a/cyclamenshift/decisions/records.py
+++ b/cyclamenshift/decisions/records.py
@@ -89,10 +89,7 @@
         progress.open_due(wall_time)
         for unfinished in _unfinished_occurrences(progress):
             progress.open_ready_steps(unfinished)
-    for attempted in row['tried']:
-        _restore_attempted(progress, attempted)
-    for active_run in row['open']:
-        _restore_active(progress, active_run, now)
+    _restore_runs(progress, row, now)
 
 
 def _done_tasks(progress: JobProgress) -> list[tuple[int, int, str]]:
@@ -125,6 +122,16 @@
     return is_new and task.last_run in task.attempts
 
 
+def _restore_runs(progress: JobProgress, row: ProgressRow, now: int) -> None:
+    for attempted in row['tried']:
+        _restore_attempted(progress, attempted)
+    for active_run in row['open']:
+        _restore_active(progress, active_run, now)
+    for unlisted in row['tried']:
+        if 'failed_runs' not in unlisted:
+            _assume_failed_runs(progress, unlisted)
+
+
 def _restore_attempted(progress: JobProgress, attempted: AttemptedTask) -> None:
     occurrence, number, ordinal = attempted['task']
     task = progress.ensure_open(occurrence, number)[ordinal]
@@ -137,9 +144,24 @@
     if task.step.long_running:
         return
     task.failed_runs = set(attempted.get('failed_runs', ()))
-    if task.failures and not task.failed_runs:
-        # The row does not list them, so any run that is over may be counted.
-        task.failed_runs = set(range(1, task.last_run + 1))
+
+
+def _assume_failed_runs(
+    progress: JobProgress, attempted: AttemptedTask
+) -> None:
+    """
+    Take each run of a task that is over for one that is counted as failed.
+
+    Its row does not list them.  The members of a gang share a count, so a run
+    is over unless it is active in all of them.
+    """
+    occurrence, number, ordinal = attempted['task']
+    task = progress.ensure_open(occurrence, number)[ordinal]
+    if not task.failures or task.step.long_running:
+        return
+    members = progress.siblings(task) if task.step.gang else [task]
+    active = set.intersection(*(set(each.attempts) for each in members))
+    task.failed_runs = set(range(1, task.last_run + 1)) - active
 
 
 def _restore_active(
@@ -152,7 +174,6 @@
     attempt = Attempt(task, active_run['run'], active_run['worker'], now)
     attempt.phase = Phase.inherited
     task.attempts[attempt.number] = attempt
-    task.failed_runs.discard(attempt.number)
     task.last_run = max(task.last_run, attempt.number)
 
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -165,3 +165,20 @@
     successor = next(restored(progress).tasks())
     assert successor.failures == task.failures
     assert task.failed_runs == successor.failed_runs
+
+
+def test_failure_of_a_gang_counts_twice_after_a_take_over() -> None:
+    """Its first member was still listed as active, and shares the count."""
+    tracker = JobTracker()
+    submitted = job(steps=(step(tasks=2, gang=True),))
+    progress = tracker.add(submitted, queue(attempts=3), WALL_START)
+    assert progress
+    first, second = progress.steps[0, 0]
+    for task in (first, second):
+        tracker.plan(task, INSTANCE, 1, 0)
+    progress.record_failure(second, 1, INSTANCE, 0)
+    tracker.remove(second.attempts[1])
+    successor = restored(progress)
+    (restored_first, restored_second) = successor.steps[0, 0]
+    successor.record_failure(restored_second, 1, INSTANCE, 0)
+    assert (restored_first.failures, restored_first.failed_runs) == (1, {1})
