--- a/cyclamenshift/controls/pools.py
+++ b/cyclamenshift/controls/pools.py
@@ -33,8 +33,8 @@
     ABSENT,
     Committed,
     Conflict,
-    Store,
     Rejected,
+    Store,
     Unavailable,
     Uncertain,
 )
--- a/cyclamenshift/scheduling/recorder.py
+++ b/cyclamenshift/scheduling/recorder.py
@@ -90,6 +90,7 @@
         self.metrics = kernel.metrics
         self.log = log
         self.limits = kernel.settings['store']
+        self.row_limit = RowLimit(self.limits['row_limit'], store.size_of)
         self.commits = 0
         self.rows: dict[str, JobRows] = {}
         self.rejected_until: dict[str, int] = {}
@@ -119,8 +120,7 @@
         """Return the rows of a job, as far as they are known."""
         if job_id not in self.rows:
             key = progress_key(self.term.domain, job_id)
-            limit = RowLimit(self.limits['row_limit'], self.store.size_of)
-            self.rows[job_id] = JobRows(key, limit)
+            self.rows[job_id] = JobRows(key, self.row_limit)
         return self.rows[job_id]
 
     def adopt(self, job_id: str, rows: Iterable[Row]) -> None:
