--- a/cyclamenshift/controls/row_writer.py
+++ b/cyclamenshift/controls/row_writer.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from typing import ClassVar, Final, NamedTuple, cast
+from typing import ClassVar, NamedTuple, cast
 
 import trio
 
@@ -16,6 +16,7 @@
 from ..plugin import register
 from ..store import (
     ABSENT,
+    ROWS_SHARE,
     Check,
     CommitResult,
     Committed,
@@ -34,9 +35,6 @@
 #: doubles up to the maximum, so that retries don't overload a slow store.
 RETRY_DELAY_MS = 100
 MAX_RETRY_DELAY_MS = 400
-#: The part of the size of a transaction that the rows may take; keys and
-#: versions take the rest.
-ROWS_SHARE: Final = 0.8
 
 
 @register_payload
--- a/cyclamenshift/scheduling/recorder.py
+++ b/cyclamenshift/scheduling/recorder.py
@@ -18,6 +18,7 @@
 from ..jobrows import progress_key
 from ..logs import StructuredLogger
 from ..store import (
+    ROWS_SHARE,
     Check,
     Committed,
     Conflict,
@@ -34,9 +35,6 @@
 #: The most rows in one transaction.  Each needs a check and a write, and the
 #: store accepts 100 entries a call.
 MAX_BATCH_ROWS: Final = 48
-#: The part of the size of a transaction that the rows may take; keys and
-#: versions take the rest.
-ROWS_SHARE: Final = 0.8
 #: How long changes are collected before a transaction, ms: a tenth of the
 #: time within which the end of a run must be processed.
 BATCH_DELAY_MS: Final = 10
--- a/cyclamenshift/store.py
+++ b/cyclamenshift/store.py
@@ -9,7 +9,7 @@
 
 import abc
 from collections.abc import Mapping, Sequence
-from typing import Any, ClassVar, NamedTuple, TypeAlias
+from typing import Any, ClassVar, Final, NamedTuple, TypeAlias
 
 import msgspec
 
@@ -18,6 +18,9 @@
 #: The fields of a row, which hold plain values only.
 Fields: TypeAlias = Mapping[str, Any]
 
+#: The part of the size of a transaction that the rows may take; keys and
+#: versions take the rest.
+ROWS_SHARE: Final = 0.8
 #: The version of a row that does not exist.
 ABSENT = 0
 
