--- a/cyclamenshift/decisions/isolation.py
+++ b/cyclamenshift/decisions/isolation.py
@@ -46,8 +46,8 @@
     age, so that they hide nothing.  In ``settles_in`` ms the last young one
     will be old.  ``fits`` tells whether there is room for the suspect,
     ``fits_later`` whether there is once the young runs have ended.
-    ``shareable`` tells whether all runs on probation there are after their
-    first crash, and there is one.
+    ``on_probation`` tells whether a suspect runs there that may still crash it,
+    ``shareable`` whether all of these have been at one crash only.
     """
 
     instance: WorkerInstance
--- a/cyclamenshift/duties/scheduler.py
+++ b/cyclamenshift/duties/scheduler.py
@@ -63,7 +63,7 @@
         load.jobs_left_out.source = self.jobs_left_out
 
     def domains(self, catalog: Catalog) -> Iterable[str]:
-        """Return the services that have queues, or jobs of earlier ones."""
+        """Return the services that have queues, or have had some."""
         with_queues = {queue.service for queue in catalog.queues.values()}
         earlier = self.queue_history.records.services()
         return with_queues | (earlier & catalog.services.keys())
--- a/cyclamenshift/platform/store.py
+++ b/cyclamenshift/platform/store.py
@@ -52,9 +52,9 @@
 PERMANENT_ERRORS: Final = frozenset(
     (HTTPStatus.BAD_REQUEST, HTTPStatus.REQUEST_ENTITY_TOO_LARGE),
 )
-#: The statuses that prove that a transaction has no effect, besides those and
-#: that of a conflict.  After any other error it may have been performed or may
-#: yet be.
+#: The statuses that prove that a transaction has no effect, besides the
+#: permanent errors and that of a conflict.  After any other one it may have
+#: been performed, or may yet be.
 REFUSAL_STATUSES: Final = frozenset(
     (
         HTTPStatus.FORBIDDEN,
--- a/cyclamenshift/scheduling/recorder.py
+++ b/cyclamenshift/scheduling/recorder.py
@@ -48,7 +48,7 @@
 
 
 class JobChanges(NamedTuple):
-    """The rows to write so that *generation* of a job is recorded."""
+    """The changes of ``rows`` that record a ``generation`` of a job."""
 
     progress: JobProgress
     generation: int
--- a/cyclamenshift/scheduling/suspects.py
+++ b/cyclamenshift/scheduling/suspects.py
@@ -25,7 +25,11 @@
 
 
 class SuspectKind(NamedTuple):
-    """What the choice of a worker depends on, which many suspects share."""
+    """
+    What the choice of a worker depends on, which many suspects share.
+
+    ``patient`` ones have not waited for long enough to share a worker.
+    """
 
     demand: Demand
     crashes: int
