Tell in the log which process had the runs that were given up

`Runs lost.` with `leases expired` could not tell a run that a report had listed from one that only an answer to its order told of, nor the clock of that answer.

--- a/cyclamenshift/scheduling/orders.py
+++ b/cyclamenshift/scheduling/orders.py
@@ -141,6 +141,9 @@
     async def _handle_accepted(self, result: Accepted) -> None:
         if result.clock < self.least_clock:
             # Another process under the worker's id accepted the order.
+            self.state.run_log.record_other_process(
+                self.session, self.attempt, result.clock
+            )
             self.attempt.phase = Phase.unsettled
             await self._settle()
             return
--- a/cyclamenshift/scheduling/run_log.py
+++ b/cyclamenshift/scheduling/run_log.py
@@ -9,7 +9,7 @@
 clock.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any
 
 from ..clock import Clock
@@ -43,6 +43,18 @@
             clock=session.lease.clock,
         )
 
+    def record_other_process(
+        self, session: WorkerSession, attempt: Attempt, clock: int
+    ) -> None:
+        """Log that a process that has not reported accepted an order."""
+        self._note(
+            'Order accepted by another process.',
+            session,
+            run=attempt.run,
+            clock=clock,
+            expected_clock=session.lease.estimate_clock(self.clock.now()),
+        )
+
     def record_not_started(self, attempt: Attempt, reason: str) -> None:
         """Log that a run was not started."""
         self.log.note(
@@ -88,15 +100,26 @@
             )
 
     def record_lost(
-        self, session: WorkerSession, lost: Iterable[Attempt], reason: str
+        self, session: WorkerSession, lost: Collection[Attempt], reason: str
     ) -> None:
-        """Log the removal of all runs of a session."""
+        """
+        Log the removal of runs of a session.
+
+        Which process had them follows from whether a report has listed each,
+        and from the clock in the answer to its order.
+        """
         now = self.clock.now()
         self.log.warning(
             'Runs lost.',
             worker=session.worker.worker_id,
             reason=reason,
             runs=_run_ids(lost),
+            phases=[each.phase for each in lost],
+            reported=[each.confirmation.reported for each in lost],
+            open_orders=[each.open_orders for each in lost],
+            start_clocks=[each.start_clock for each in lost],
+            clock=session.lease.estimate_clock(now),
+            granted_until=session.lease.granted_until,
             silent_ms=now - session.silent_since(now),
             refused=bool(session.silence and session.silence.refused),
             leaving=session.worker.leaving,
--- a/tests/test_run_log.py
+++ b/tests/test_run_log.py
@@ -65,3 +65,8 @@
     (lost,) = lines(caplog, 'Runs lost.')
     assert lost['session_ms'] > 0
     assert lost['runs'] == [FIRST_RUN]
+    assert lost['reported'] == [True]
+    assert lost['phases'] == ['running']
+    assert lost['open_orders'] == [0]
+    assert lost['start_clocks'] != [None]
+    assert lost['granted_until']
