Show a second run after an unseen restart and a cut (known failure)

A worker restarts under its id, executes orders of the session with the process before, and is cut off before a report names the new process. The owner gives the runs up by leases on the old clock and starts them elsewhere 2 to 4 s after their orders, while the first are at work: 7 of 7 cases, listed in KNOWN-RED.txt. The second test holds what a plain cut costs today, a lease.

--- a/tests/test_cut_after_restart.py
+++ b/tests/test_cut_after_restart.py
@@ -12,36 +12,47 @@
 import trio
 from trio.testing import MockClock
 
-from cyclamenshift.job import TaskId
+from cyclamenshift.decisions.leases import max_elapsed
+from cyclamenshift.job import Job, TaskId
+from cyclamenshift.scheduling.lease_renewer import REPORT_WAIT_MS
 
 from .builders import job, step
 from .standins.jobs import JobCluster
 from .standins.restarts import Restart, restart_worker
+from .standins.sim_worker import now_ms
+from .standins.worker_client import RESPONSE_TIMEOUT_MS
 
 #: Longer than any lease, s and ms.
 UPTIME_S = 20
 LONG_RUN_MS = 30_000
 #: The directory shows the new process only after the end of the test, ms.
 REGISTRATION_MS = 10 * LONG_RUN_MS
+PAUSE_S = 0.05
 TASKS = 3
+FIRST_TASK = TaskId('job-1', 0, 0, 0)
+#: For how long a poll and the calls after it may go unanswered before the
+#: runs are given up, ms.
+FOUND_MS = REPORT_WAIT_MS + 2 * RESPONSE_TIMEOUT_MS
 
 
-async def _cut_after_restart(
-    job_cluster: JobCluster, pause_ms: int, cut_ms: int
-) -> None:
-    """Submit a job *pause_ms* after a restart; cut the worker off later."""
+def _long_job(job_cluster: JobCluster) -> Job:
+    """Return a job whose tasks outlast every lease."""
+    for ordinal in range(TASKS):
+        task = FIRST_TASK._replace(ordinal=ordinal)
+        job_cluster.workers.run_ms[task] = LONG_RUN_MS
+    return job(steps=(step(tasks=TASKS),))
+
+
+async def _cut_after_restart(job_cluster: JobCluster, cut_ms: int) -> None:
+    """Submit a job right after a restart; cut the worker off *cut_ms* later."""
     job_cluster.add_workers('desk', 1)
     (entry,) = await job_cluster.start_all(1)
     await trio.sleep(UPTIME_S)
     worker_id = job_cluster.get_worker_id('desk-vm-1')
     restart = Restart(worker_id, 0, REGISTRATION_MS)
     job_cluster.nursery.start_soon(restart_worker, job_cluster, restart)
-    await trio.sleep(pause_ms / 1000)
-    submitted = job(steps=(step(tasks=TASKS),))
-    for ordinal in range(TASKS):
-        task = TaskId('job-1', 0, 0, ordinal)
-        job_cluster.workers.run_ms[task] = LONG_RUN_MS
-    await job_cluster.submit(entry, submitted)
+    await trio.sleep(PAUSE_S)
+    await job_cluster.submit(entry, _long_job(job_cluster))
     await trio.sleep(cut_ms / 1000)
     restarted = job_cluster.workers.current_instance(worker_id)
     restarted.unreachable_from = set()
@@ -49,15 +60,51 @@
     await trio.sleep(LONG_RUN_MS / 1000)
 
 
-@pytest.mark.parametrize('lost_answers', [0, 1, 2])
-@pytest.mark.parametrize('cut_ms', range(0, 120, 3))
-async def test_sweep(
+@pytest.mark.xfail(strict=True, reason='issue 43, see KNOWN-RED.txt')
+@pytest.mark.parametrize(
+    ('cut_ms', 'lost_answers'),
+    [
+        (15, 0),
+        (27, 0),
+        (45, 0),
+        (15, 1),
+        (39, 1),
+        (24, 2),
+        (66, 2),
+    ],
+)
+async def test_task_runs_twice_after_an_unseen_restart_and_a_cut(
     job_cluster: JobCluster,
     autojump_clock: MockClock,
     cut_ms: int,
     lost_answers: int,
 ) -> None:
-    """X."""
+    """The lease of the new process was reckoned on the clock of the old."""
     job_cluster.workers.lose_answers = lost_answers
-    await _cut_after_restart(job_cluster, 50, cut_ms)
+    await _cut_after_restart(job_cluster, cut_ms)
+    assert job_cluster.workers.count_starts(FIRST_TASK) == 2
+    assert not job_cluster.workers.find_violations()
+
+
+@pytest.mark.parametrize('worked_ms', [60, 500, 3_000])
+async def test_work_of_a_plain_cut_waits_for_its_own_lease_only(
+    job_cluster: JobCluster, autojump_clock: MockClock, worked_ms: int
+) -> None:
+    """A run that its process accepted or reported waits no longer."""
+    job_cluster.add_workers('desk', 1)
+    (entry,) = await job_cluster.start_all(1)
+    await trio.sleep(UPTIME_S)
+    await job_cluster.submit(entry, _long_job(job_cluster))
+    await trio.sleep(worked_ms / 1000)
+    assert job_cluster.workers.count_starts(FIRST_TASK) == 1
+    cut_at = now_ms()
+    worker_id = job_cluster.get_worker_id('desk-vm-1')
+    job_cluster.workers.current_instance(worker_id).unreachable_from = set()
+    job_cluster.add_vm('desk-vm-2', 'desk')
+    await job_cluster.wait_until(
+        lambda: job_cluster.workers.count_starts(FIRST_TASK) == 2
+    )
+    settings = entry.kernel.settings['jobs']
+    waited = now_ms() - cut_at
+    assert waited <= max_elapsed(settings['lease']) + FOUND_MS
     assert not job_cluster.workers.find_violations()
