Look for a run before its start is ordered again

An order without an answer was repeated blindly: to whichever process is up by then, under an expiry on the clock of the one before, and two orders under way leave open which of them a report of the run tells of. The worker is asked for a report first. It names the process, may list the run, which proves that the only order was executed, and costs the call that the repetition cost. The order is repeated where it does not.

--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -140,6 +140,8 @@
 
     def confirm(self, position: int, *, reported: bool) -> None:
         """Record an answer that told of the run, a report if *reported*."""
+        if reported:
+            self.orders.record_listed()
         self.confirmation = Confirmation(
             position, reported or self.confirmation.reported
         )
--- a/cyclamenshift/scheduling/orders.py
+++ b/cyclamenshift/scheduling/orders.py
@@ -213,12 +213,16 @@
         """
         Repeat the order, which the worker executes once, or stop the run.
 
-        A repeated order costs one call and keeps the run.  It is not needed
-        where a report has told of the run meanwhile.
+        The worker is asked for a report first: it may list the run, and names
+        the process that would get the repeated order.
         """
         if self.attempt.phase is not Phase.unsettled:
             return
-        if self.repeated or self._is_obsolete():
+        if not (self.repeated or self._is_obsolete()):
+            await LeaseRenewer(self.state, self.session).renew(0)
+        if self.session.closed or self.attempt.phase is not Phase.unsettled:
+            return
+        if self.repeated or self._is_obsolete() or self.session.misses:
             self.session.back_off(self.state.clock.now() + FAILURE_BACKOFF_MS)
             await self._settle()
             return
--- a/tests/test_cut_after_restart.py
+++ b/tests/test_cut_after_restart.py
@@ -85,11 +85,17 @@
     assert not job_cluster.workers.find_violations()
 
 
-@pytest.mark.parametrize('worked_ms', [60, 500, 3_000])
+@pytest.mark.parametrize(
+    ('worked_ms', 'lost_answers'), [(60, 0), (500, 0), (3_000, 0), (500, TASKS)]
+)
 async def test_work_of_a_plain_cut_waits_for_its_own_lease_only(
-    job_cluster: JobCluster, autojump_clock: MockClock, worked_ms: int
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+    worked_ms: int,
+    lost_answers: int,
 ) -> None:
     """A run that its process accepted or reported waits no longer."""
+    job_cluster.workers.lose_answers = lost_answers
     job_cluster.add_workers('desk', 1)
     (entry,) = await job_cluster.start_all(1)
     await trio.sleep(UPTIME_S)
