Wait for the longest lease after a take-over

Cause: the successor reckoned with what its predecessor granted, not with what a worker made of it, and for a worker without recorded runs with no earlier lease at all. Now no lease of a worker counts as expired before the longest one has passed since the successor's start, and a second more for a poll under way, whose lease the worker counts from the end of the poll. Where that is not above the horizon, nothing changes.

--- a/cyclamenshift/decisions/leases.py
+++ b/cyclamenshift/decisions/leases.py
@@ -11,6 +11,9 @@
 #: platform specifies for leases.
 CLOCK_LAG_PERCENT: Final = 2
 PERCENT: Final = 100
+#: How long a worker may hold a report while no run ends (long poll), ms.  The
+#: lease that the poll grants may count from its end.
+REPORT_WAIT_MS: Final = 1_000
 #: How long after it was sent an unanswered order may still be executed, ms.
 MAX_ORDER_DELAY_MS: Final = 3_000
 
@@ -117,9 +120,9 @@
     """
     The bounds on leases that a scheduler started at ``started_at`` knows.
 
-    Earlier schedulers granted none beyond ``horizon`` after that; no worker
-    accepts one above ``max_lease``.  All in ms, the start on the monotonic
-    clock.
+    Earlier schedulers granted none beyond ``horizon`` after that.  But where
+    they had not seen the restart of a worker, it has the longest lease that
+    workers accept, ``max_lease``.  All in ms, the start on the monotonic clock.
     """
 
     started_at: int
@@ -128,16 +131,19 @@
 
     @property
     def prior_until(self) -> int:
-        """When the leases that earlier schedulers granted have expired."""
-        return self.started_at + max_elapsed(self.horizon)
+        """When the leases by orders of earlier schedulers have expired."""
+        return max(
+            self.started_at + max_elapsed(self.horizon),
+            self.longest_from(self.started_at + REPORT_WAIT_MS),
+        )
 
     def longest_from(self, now: int) -> int:
         """Return when the longest lease that was given by *now* expires."""
         return now + max_elapsed(self.max_lease)
 
-    def lease(self, prior_leases_until: int) -> Lease:
+    def initial_lease(self) -> Lease:
         """Return the lease of a worker that has not answered."""
-        return Lease(prior_leases_until, self.max_lease)
+        return Lease(self.prior_until, self.max_lease)
 
 
 def max_elapsed(length: int) -> int:
--- a/cyclamenshift/scheduling/lease_renewer.py
+++ b/cyclamenshift/scheduling/lease_renewer.py
@@ -8,6 +8,7 @@
 from functools import singledispatchmethod
 from typing import Final
 
+from ..decisions.leases import REPORT_WAIT_MS
 from ..decisions.progress import Phase
 from ..worker import (
     LeaseRenewal,
@@ -19,8 +20,6 @@
 from .state import SILENCE_MS, ServiceState
 from .worker_session import WorkerSession
 
-#: How long a worker may hold a report while no run ends (long poll), ms.
-REPORT_WAIT_MS: Final = 1_000
 #: How long to wait for the run ends in a report to be stored, ms.  After
 #: that the lease is renewed without acknowledging them; well below a lease.
 RECORD_WAIT_MS: Final = 500
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -118,10 +118,7 @@
     def session_for(self, worker: Worker) -> WorkerSession:
         """Return the session of *worker*, created on first use."""
         if worker.instance not in self.sessions:
-            prior_leases_until = self.lease_bounds.started_at
-            if self.tracker.attempts_at(worker.instance):
-                prior_leases_until = self.lease_bounds.prior_until
-            self._open_session(worker, prior_leases_until)
+            self._open_session(worker)
         return self.sessions[worker.instance]
 
     def has_runs(self, session: WorkerSession) -> bool:
@@ -238,7 +235,7 @@
         that a worker accepts, and have expired at *until*, monotonic ms.
         """
         if successor.instance not in self.sessions:
-            self._open_session(successor, self.lease_bounds.started_at)
+            self._open_session(successor)
             self.sessions[successor.instance].registered = False
         self.sessions[successor.instance].lease.extend_prior(until)
 
@@ -262,8 +259,9 @@
 
         Such workers can't be asked, so their leases have to expire first.
         """
-        lease = self.lease_bounds.lease(self.lease_bounds.prior_until)
-        evidence = LeasesExpired(lease, self.clock.now())
+        evidence = LeasesExpired(
+            self.lease_bounds.initial_lease(), self.clock.now()
+        )
         for instance in tuple(
             self.tracker.attempts_by_worker.keys() - self.sessions.keys()
         ):
@@ -291,12 +289,9 @@
             crash = WorkerCrash(None, settled=False)
             self._count_crash(worker_id, crashed, crash)
 
-    def _open_session(self, worker: Worker, prior_leases_until: int) -> None:
-        session = WorkerSession(
-            worker,
-            self.lease_bounds.lease(prior_leases_until),
-            self.clock.now(),
-        )
+    def _open_session(self, worker: Worker) -> None:
+        lease = self.lease_bounds.initial_lease()
+        session = WorkerSession(worker, lease, self.clock.now())
         reservation = self.reservations.get(worker.vm_id, NOT_RESERVED)
         if worker.started_at < reservation.made_at:
             session.reserved_until = reservation.until
--- a/tests/test_cut_after_restart.py
+++ b/tests/test_cut_after_restart.py
@@ -12,9 +12,8 @@
 import trio
 from trio.testing import MockClock
 
-from cyclamenshift.decisions.leases import max_elapsed
-from cyclamenshift.job import Job, TaskId
-from cyclamenshift.scheduling.lease_renewer import REPORT_WAIT_MS
+from cyclamenshift.decisions.leases import REPORT_WAIT_MS, max_elapsed
+from cyclamenshift.job import Job, JobState, TaskId
 
 from .builders import job, step
 from .standins.jobs import JobCluster
@@ -27,6 +26,8 @@
 LONG_RUN_MS = 30_000
 #: The directory shows the new process only after the end of the test, ms.
 REGISTRATION_MS = 10 * LONG_RUN_MS
+#: The directory shows it soon, ms.
+SEEN_MS = 300
 PAUSE_S = 0.05
 TASKS = 3
 FIRST_TASK = TaskId('job-1', 0, 0, 0)
@@ -113,3 +114,37 @@
     waited = now_ms() - cut_at
     assert waited <= max_elapsed(settings['lease']) + FOUND_MS
     assert not job_cluster.workers.find_violations()
+
+
+@pytest.mark.parametrize('cut_ms', [60, 500, 1_500])
+async def test_new_owner_gives_up_a_run_under_a_lease_of_the_owner_before(
+    job_cluster: JobCluster, autojump_clock: MockClock, cut_ms: int
+) -> None:
+    """An order to the process before had given a longer lease than its own."""
+    job_cluster.add_workers('desk', 1)
+    await job_cluster.start_all(3)
+    await trio.sleep(UPTIME_S)
+    worker_id = job_cluster.get_worker_id('desk-vm-1')
+    restart = Restart(worker_id, 0, SEEN_MS)
+    job_cluster.nursery.start_soon(restart_worker, job_cluster, restart)
+    await trio.sleep(PAUSE_S)
+    earlier, later = (
+        job('job-0', steps=(step(tasks=1),)),
+        _long_job(job_cluster),
+    )
+    owner = job_cluster.owner('desk')
+    entry = job_cluster.entry_not_owning('desk')
+    await job_cluster.submit(entry, earlier)
+    await job_cluster.wait_for_state(JobState.completed, earlier)
+    job_cluster.kill(owner)
+    await job_cluster.wait_until(job_cluster.all_owned)
+    await job_cluster.submit(entry, later)
+    await job_cluster.wait_until(
+        lambda: job_cluster.workers.count_starts(FIRST_TASK) == 1
+    )
+    await trio.sleep(cut_ms / 1000)
+    job_cluster.workers.current_instance(worker_id).unreachable_from = set()
+    job_cluster.add_vm('desk-vm-2', 'desk')
+    await trio.sleep(LONG_RUN_MS / 1000)
+    assert job_cluster.workers.count_starts(FIRST_TASK) == 2
+    assert not job_cluster.workers.find_violations()
