Tell which process alone can have received an order

Orders name a worker by its id, which a restart keeps, so a scheduler could not tell which process an order without an answer was for. The transport knew more than it told: a connection leads to one process as long as it lasts, and a report names its process.

`http1.Response` and `http1.NoResponse` carry the `RemoteProcess` of their connection, on which the worker client notes the start time in each report; it is forgotten with the connection. `Accepted` and `Unanswered` have that start time as `receiver`. Reports of two processes on one connection show a proxy: then no receiver is named any more.

Of the idle connections starts prefer one whose process is known and the other calls one whose process isn't, so no call and no connection is added.

--- a/cyclamenshift/http1.py
+++ b/cyclamenshift/http1.py
@@ -78,7 +78,9 @@
 
     ``operation`` is its name in the metrics.  ``hold`` is how long the server
     may hold the response on purpose, ms; ``timeout`` limits the wait beyond,
-    and then the wait for each further part of the response.
+    and then the wait for each further part of the response.  Of the idle
+    connections, one to an identified process is used first if
+    ``to_identified``, else last.
     """
 
     operation: str
@@ -88,14 +90,33 @@
     timeout: int
     hold: int = 0
     headers: tuple[tuple[str, str], ...] = ()
+    to_identified: bool = False
+
+
+class RemoteProcess:
+    """
+    The process at the other end of a connection, one object per connection.
+
+    No other process receives a request that is sent on the connection.
+    ``identity`` is what a caller has learned from a response, None before.
+    """
+
+    def __init__(self) -> None:
+        """Start with a process that is not identified."""
+        self.identity: int | None = None
 
 
 class Response(NamedTuple):
-    """A complete HTTP response; header names are in lower case."""
+    """
+    A complete HTTP response; header names are in lower case.
+
+    ``process`` is the one that alone received the request.
+    """
 
     status: int
     headers: Mapping[str, str]
     body: bytes
+    process: RemoteProcess | None = None
 
 
 class NotSent(NamedTuple):
@@ -111,9 +132,14 @@
 
 
 class NoResponse(NamedTuple):
-    """No complete response; the server may have processed the request."""
+    """
+    No complete response; the server may have processed the request.
+
+    ``process`` is the only one that can have received it.
+    """
 
     reason: str
+    process: RemoteProcess | None = None
 
 
 Result: TypeAlias = Response | NotSent | NoResponse
@@ -131,7 +157,7 @@
 
     async def call(self, address: Address, request: Request) -> Result:
         """Send a request on an idle connection, or else on a new one."""
-        connection = self._take_idle(address)
+        connection = self._take_idle(address, request)
         if connection is None:
             connection_or_error = await self._connect(address)
             if isinstance(connection_or_error, NotSent):
@@ -171,7 +197,7 @@
         finally:
             self._measure(request, connection, started)
             self._release(address, connection)
-        return response or NoResponse(reason)
+        return response or NoResponse(reason, connection.process)
 
     async def _exchange_in_time(
         self,
@@ -201,8 +227,11 @@
         self.load.sent_bytes.increase(kind, connection.sent)
         self.load.received_bytes.increase(kind, connection.received)
 
-    def _take_idle(self, address: Address) -> '_Connection | None':
+    def _take_idle(
+        self, address: Address, request: Request
+    ) -> '_Connection | None':
         idle = self.idle.get(address, [])
+        idle.sort(key=lambda each: each.is_identified is request.to_identified)
         while idle:
             connection = idle.pop()
             if connection.is_reusable():
@@ -243,10 +272,15 @@
     def __init__(self, sock: trio.socket.SocketType) -> None:
         self.sock = sock
         self.protocol = h11.Connection(h11.CLIENT)
+        self.process = RemoteProcess()
         self.sent = 0
         self.received = 0
         self.on_progress: Callable[[], None] = _do_nothing
 
+    @property
+    def is_identified(self) -> bool:
+        return self.process.identity is not None
+
     async def exchange(
         self,
         encoded: bytes,
@@ -271,7 +305,7 @@
             event = await self._next_event()
         if not isinstance(event, h11.EndOfMessage):
             raise _incomplete_response()
-        return _build_response(head, chunks)
+        return _build_response(head, chunks, self.process)
 
     def encode(self, address: Address, request: Request) -> bytes | NotSent:
         """Encode a request; one that is not valid HTTP can't be sent."""
@@ -344,12 +378,14 @@
     return h11.RemoteProtocolError('the answer was cut short')
 
 
-def _build_response(head: h11.Response, chunks: list[bytes]) -> Response:
+def _build_response(
+    head: h11.Response, chunks: list[bytes], process: RemoteProcess
+) -> Response:
     headers = {
         name.decode('latin-1'): value.decode('latin-1')
         for name, value in head.headers
     }
-    return Response(head.status_code, headers, b''.join(chunks))
+    return Response(head.status_code, headers, b''.join(chunks), process)
 
 
 def _set_socket_options(sock: trio.socket.SocketType) -> None:
--- a/cyclamenshift/platform/workers.py
+++ b/cyclamenshift/platform/workers.py
@@ -82,6 +82,7 @@
         self.client = Client(self.clock, kernel.metrics.load)
         self.timeout = Timeout(MIN_TIMEOUT_MS, MAX_TIMEOUT_MS)
         self.unnamed_runs = 0
+        self.identifies_processes = True
 
     async def start(self, worker: Worker, order: StartOrder) -> OrderResult:
         """Order *worker* to start a run."""
@@ -95,7 +96,8 @@
             body['checkpoint'] = order.checkpoint
         if order.ticket:
             body['ticket'] = order.ticket
-        return _decode_order_result(await self._call(worker, 'run-start', body))
+        result = await self._call(worker, 'run-start', body, to_identified=True)
+        return _decode_order_result(result, self._find_receiver(result))
 
     async def stop(
         self,
@@ -119,11 +121,13 @@
         if order.wait:
             body['waitMs'] = order.wait
         result = await self._call(worker, 'hold', body, order.wait)
+        receiver = self._find_receiver(result)
         if not isinstance(result, Response) or result.status != HTTPStatus.OK:
-            return _decode_failure(result)
+            return _decode_failure(result, receiver)
         reported = decode_json(result.body, ReportBody)
         if isinstance(reported, Unreadable):
-            return Unanswered(sent=True, reason=reported.reason)
+            return Unanswered(True, reported.reason, receiver=receiver)
+        self._identify_process(result, reported['born'])
         return self._decode_report(worker, reported)
 
     async def throttle(self, worker: Worker, order: Throttle) -> OrderResult:
@@ -143,6 +147,32 @@
             'unnamed_runs': self.unnamed_runs,
         }
 
+    def _find_receiver(
+        self, result: Response | NotSent | NoResponse
+    ) -> int | None:
+        """Return the start time of the only process that got a request."""
+        if isinstance(result, NotSent) or not self.identifies_processes:
+            return None
+        return result.process.identity if result.process else None
+
+    def _identify_process(self, response: Response, started_at: int) -> None:
+        """
+        Record which process reported on a connection.
+
+        Reports of two processes prove that a proxy forwards the requests:
+        then connections tell nothing.
+        """
+        process = response.process
+        if process is None:
+            return
+        if process.identity not in {None, started_at}:
+            self.identifies_processes = False
+            self.log.warning(
+                'Two processes reported on one connection.',
+                started_at=(process.identity, started_at),
+            )
+        process.identity = started_at
+
     def _decode_report(
         self, worker: Worker, body: ReportBody
     ) -> WorkerReport | Unanswered:
@@ -166,6 +196,8 @@
         name: str,
         body: Mapping[str, Any],
         wait: int = 0,
+        *,
+        to_identified: bool = False,
     ) -> Response | NotSent | NoResponse:
         request = Request(
             name,
@@ -175,6 +207,7 @@
             self.timeout.current(),
             wait,
             ((EXPECTED_INSTANCE_HEADER, worker.worker_id),),
+            to_identified,
         )
         sent_at = self.clock.now()
         result = await self.client.call(worker.address, request)
@@ -192,17 +225,19 @@
 
 def _decode_order_result(
     result: Response | NotSent | NoResponse,
+    receiver: int | None = None,
 ) -> OrderResult:
     if not isinstance(result, Response) or result.status != HTTPStatus.OK:
-        return _decode_failure(result)
+        return _decode_failure(result, receiver)
     accepted = decode_json(result.body, AcceptedBody)
     if isinstance(accepted, Unreadable):
-        return Unanswered(sent=True, reason=accepted.reason)
-    return Accepted(accepted['clockMs'])
+        return Unanswered(True, accepted.reason, receiver=receiver)
+    return Accepted(accepted['clockMs'], receiver)
 
 
 def _decode_failure(
     result: Response | NotSent | NoResponse,
+    receiver: int | None,
 ) -> Refused | Unanswered:
     """Return what *result*, which is no acceptance, proves."""
     if isinstance(result, NotSent):
@@ -210,10 +245,10 @@
             sent=False, reason=result.reason, refused=result.refused
         )
     if isinstance(result, NoResponse):
-        return Unanswered(sent=True, reason=result.reason)
+        return Unanswered(True, result.reason, receiver=receiver)
     refusal = _find_refusal(result)
     if refusal is None:
-        return Unanswered(sent=True, reason=f'status {result.status}')
+        return Unanswered(True, f'status {result.status}', receiver=receiver)
     return Refused(refusal)
 
 
--- a/cyclamenshift/worker.py
+++ b/cyclamenshift/worker.py
@@ -99,9 +99,15 @@
 
 
 class Accepted(NamedTuple):
-    """The worker accepted the order; ``clock`` is its clock, ms."""
+    """
+    The worker accepted the order; ``clock`` is its clock, ms.
+
+    ``receiver`` is the start time of the process that accepted it, None if
+    unknown.
+    """
 
     clock: int
+    receiver: int | None = None
 
 
 class RefusalReason(enum.StrEnum):
@@ -135,12 +141,14 @@
 
     If ``sent`` is true, the order may have been executed or may yet be
     executed, even after orders that were given later.  ``refused`` is whether
-    the host refused the connection.
+    the host refused the connection.  ``receiver`` is the start time of the
+    only process that can execute the order, None if unknown.
     """
 
     sent: bool
     reason: str
     refused: bool = False
+    receiver: int | None = None
 
 
 OrderResult: TypeAlias = Accepted | Refused | Unanswered
