Wait for the leases of the only receiver of a start order

Since every process that may have a run is waited for, each unanswered start order kept its task from starting elsewhere for the longest lease, also where no other process than the known one could have got the order.

Now each run's orders tell which processes may execute them. Where all of them went to the process of the session, its leases decide, and an accepted start whose receiver is known ends with its process. An order under way, one without a receiver or with another one, and a run that moved to the next process wait as before. What an order that was not sent, a refusal and a restart prove counts every unanswered order as before.

--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -125,8 +125,15 @@
 
     @property
     def is_located(self) -> bool:
-        """Whether no process but that of its instance may have the run."""
-        return self.confirmation.reported and not self.orders.unanswered
+        """Whether it is confined, and every order for it has an answer."""
+        return self.is_confined and not self.orders.unanswered
+
+    @property
+    def is_confined(self) -> bool:
+        """Whether no process but that of its instance can have the run."""
+        orders = self.orders
+        listed = self.confirmation.reported and not orders.unanswered
+        return listed or (orders.located and not orders.unlocated)
 
     @property
     def seen_for(self) -> int:
--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -201,7 +201,7 @@
         """
         self._untrack(attempt)
         attempt.instance = instance
-        attempt.orders.acceptance = None
+        attempt.orders.move()
         attempt.confirmation = UNCONFIRMED
         attempt.seen = None
         if attempt.phase is not Phase.inherited:
--- a/cyclamenshift/decisions/verdicts.py
+++ b/cyclamenshift/decisions/verdicts.py
@@ -106,13 +106,14 @@
     Judge expired leases: those of each process that may have the run.
 
     Without an answer to its order that may be any process under the worker's
-    id.  An answer does not name the process that gave it, but tells its clock.
+    id, unless the receiver of the order is known.  An answer may not name the
+    process that gave it, but tells its clock.
     """
     lease, now = evidence
     orders = attempt.orders
-    if attempt.is_located:
+    if attempt.is_confined:
         expired = lease.all_expired(now)
-    elif orders.acceptance and not orders.unanswered:
+    elif orders.acceptance and not orders.unlocated:
         expired = lease.all_expired_since(orders.acceptance, now)
     else:
         is_planned = attempt.phase is Phase.planned
--- a/cyclamenshift/scheduling/orders.py
+++ b/cyclamenshift/scheduling/orders.py
@@ -95,8 +95,8 @@
         self.session.calls.open_grants += 1
         self.least_clock = self.session.lease.min_clock(now)
         result = await self.state.client.start(worker, self._start_order())
+        self.attempt.orders.record_result(result, self.attempt.instance[1])
         if not isinstance(result, Unanswered) or not result.sent:
-            self.attempt.orders.record_answer()
             self.session.calls.open_grants -= 1
             self.session.calls.granted_at = self.session.calls.advance()
         self.state.bound_successor_leases(self.session)
@@ -192,6 +192,7 @@
             run=self.attempt.run,
             worker=self.session.worker.worker_id,
             reason=result.reason,
+            receiver=result.receiver,
         )
         if self.attempt.phase is Phase.ordered:
             self.attempt.phase = Phase.unsettled
--- a/cyclamenshift/scheduling/run_log.py
+++ b/cyclamenshift/scheduling/run_log.py
@@ -117,6 +117,7 @@
             phases=[each.phase for each in lost],
             reported=[each.confirmation.reported for each in lost],
             unanswered=[each.orders.unanswered for each in lost],
+            unlocated=[each.orders.unlocated for each in lost],
             start_clocks=[each.start_clock for each in lost],
             clock=session.lease.estimate_clock(now),
             granted_until=session.lease.granted_until,
--- a/tests/standins/worker_client.py
+++ b/tests/standins/worker_client.py
@@ -56,19 +56,15 @@
 
     async def start(self, worker: Worker, order: StartOrder) -> OrderResult:
         """Order *worker* to start a run; the response may be lost."""
-        unanswered = await self._reach(worker)
-        if unanswered:
-            return unanswered
         execute = partial(self.workers.start, order=order)
-        if self.workers.late_order_delays:
-            delay = self.workers.late_order_delays.pop()
-            return await self._execute_late(worker, execute, delay)
-        result = await self._execute(worker, execute)
-        if self.workers.lose_answers:
-            self.workers.lose_answers -= 1
-            await self.clock.sleep(RESPONSE_TIMEOUT_MS)
-            return Unanswered(sent=True, reason='lost')
-        return await self._bring_back(result)
+        if not self.workers.names_receivers:
+            return await self._start(worker, execute)
+        life = self.workers.life_of(worker)
+        execute = partial(_execute_at, life, execute)
+        result = await self._start(worker, execute)
+        if isinstance(result, Refused):
+            return result
+        return result._replace(receiver=life.worker.started_at)
 
     async def stop(
         self,
@@ -106,6 +102,22 @@
         """Accept the order without an effect."""
         return Accepted(0)
 
+    async def _start(
+        self, worker: Worker, execute: Callable[[SimWorker], OrderResult]
+    ) -> OrderResult:
+        unanswered = await self._reach(worker)
+        if unanswered:
+            return unanswered
+        if self.workers.late_order_delays:
+            delay = self.workers.late_order_delays.pop()
+            return await self._execute_late(worker, execute, delay)
+        result = await self._execute(worker, execute)
+        if self.workers.lose_answers:
+            self.workers.lose_answers -= 1
+            await self.clock.sleep(RESPONSE_TIMEOUT_MS)
+            return Unanswered(sent=True, reason='lost')
+        return await self._bring_back(result)
+
     async def _hold_report(
         self, life: SimWorker, order: LeaseRenewal, report: WorkerReport
     ) -> WorkerReport | Refused | Unanswered:
@@ -198,3 +210,12 @@
         self.nursery.start_soon(wait_and_execute)
         await self.clock.sleep(RESPONSE_TIMEOUT_MS)
         return Unanswered(sent=True, reason='late')
+
+
+def _execute_at(
+    receiver: SimWorker,
+    execute: Callable[[SimWorker], OrderResult],
+    life: SimWorker,
+) -> OrderResult:
+    """Execute an order on a connection that leads to *receiver*."""
+    return execute(life) if life is receiver else CONNECTION_LOST
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -72,7 +72,9 @@
     tasks all fail.  ``on_crash`` is called with each worker that starts one of
     the ``deadly`` tasks.  The responses to the next ``lose_answers`` start
     orders are lost; for each value in ``late_order_delays``, one start order
-    arrives that many ms late and gets no response.  ``lives`` has the life
+    arrives that many ms late and gets no response.  If ``names_receivers`` is
+    set, the result of a start order names the life that alone may carry it
+    out.  ``lives`` has the life
     that is up at the address of each worker that was restarted.
     """
 
@@ -89,6 +91,7 @@
         self.order_count = 0
         self.lose_answers = 0
         self.late_order_delays: list[int] = []
+        self.names_receivers = False
 
     def add(self, worker: Worker) -> SimWorker:
         """Start a worker, whose clock differs from those of the others."""
--- a/tests/test_cut_after_restart.py
+++ b/tests/test_cut_after_restart.py
@@ -16,7 +16,7 @@
 from cyclamenshift.job import Job, TaskId
 from cyclamenshift.scheduling.lease_renewer import REPORT_WAIT_MS
 
-from .builders import job, step
+from .builders import entry_settings, job, step
 from .standins.jobs import JobCluster
 from .standins.restarts import Restart, restart_worker
 from .standins.sim_worker import now_ms
@@ -85,11 +85,10 @@
     assert not job_cluster.workers.find_violations()
 
 
-@pytest.mark.parametrize('worked_ms', [60, 500, 3_000])
-async def test_work_of_a_plain_cut_waits_for_its_own_lease_only(
-    job_cluster: JobCluster, autojump_clock: MockClock, worked_ms: int
-) -> None:
-    """A run that its process accepted or reported waits no longer."""
+async def _restart_work_of_a_cut(
+    job_cluster: JobCluster, worked_ms: int
+) -> int:
+    """Cut a worker off after *worked_ms*; return when its work restarts, ms."""
     job_cluster.add_workers('desk', 1)
     (entry,) = await job_cluster.start_all(1)
     await trio.sleep(UPTIME_S)
@@ -103,7 +102,36 @@
     await job_cluster.wait_until(
         lambda: job_cluster.workers.count_starts(FIRST_TASK) == 2
     )
-    settings = entry.kernel.settings['jobs']
-    waited = now_ms() - cut_at
-    assert waited <= max_elapsed(settings['lease']) + FOUND_MS
     assert not job_cluster.workers.find_violations()
+    return now_ms() - cut_at
+
+
+@pytest.mark.parametrize('worked_ms', [60, 500, 3_000])
+async def test_work_of_a_plain_cut_waits_for_its_own_lease_only(
+    job_cluster: JobCluster, autojump_clock: MockClock, worked_ms: int
+) -> None:
+    """A run that its process accepted or reported waits no longer."""
+    waited = await _restart_work_of_a_cut(job_cluster, worked_ms)
+    lease = entry_settings()['jobs']['lease']
+    assert waited <= max_elapsed(lease) + FOUND_MS
+
+
+async def test_unanswered_order_of_a_plain_cut_waits_for_the_longest_lease(
+    job_cluster: JobCluster, autojump_clock: MockClock
+) -> None:
+    """It waits as long only if another process may have got the order."""
+    job_cluster.workers.lose_answers = TASKS
+    job_cluster.workers.names_receivers = True
+    waited = await _restart_work_of_a_cut(job_cluster, 60)
+    lease = entry_settings()['jobs']['lease']
+    assert waited <= max_elapsed(lease) + FOUND_MS
+
+
+async def test_order_without_a_receiver_waits_for_the_longest_lease(
+    job_cluster: JobCluster, autojump_clock: MockClock
+) -> None:
+    """Any process under the worker's id may have got the order."""
+    job_cluster.workers.lose_answers = TASKS
+    waited = await _restart_work_of_a_cut(job_cluster, 60)
+    longest = entry_settings()['jobs']['max_lease']
+    assert waited > max_elapsed(longest)
