Wait for any process that has the run of an earlier owner

Callers saw a task run twice: a worker restarted unseen under its id and executed a start order, the owner was killed and the worker cut off. The successor started the task elsewhere 9.2 s after the take-over, while the first run was still at work.

Cause: a successor waited for `lease_horizon` only, which bounds the leases on the clock of the process in the row. The process that followed it reads the expiries of the same orders on its own clock and so has the longest lease that it accepts, and it may execute an order of the killed owner up to 3 s late. The same class as for one scheduler: what is known of one process is applied to the next one that bears its name.

Now each lease also has a bound for any process from the start: the longest lease, from 3 s after the take-over on. It holds for runs that no report has listed, also where the worker is no longer registered. For runs that the worker has reported to the successor the horizon and its own leases stay the bound.

--- a/cyclamenshift/decisions/leases.py
+++ b/cyclamenshift/decisions/leases.py
@@ -43,10 +43,12 @@
     that any process under the id may have got.
     """
 
-    def __init__(self, prior_leases_until: int, max_lease: int) -> None:
+    def __init__(
+        self, prior_leases_until: int, longest_until: int, max_lease: int
+    ) -> None:
         """Create a lease before the worker's clock is known."""
         self.prior_leases_until = prior_leases_until
-        self.longest_until = prior_leases_until
+        self.longest_until = max(prior_leases_until, longest_until)
         self.max_lease = max_lease
         self.clock = 0
         self.synced_at: int | None = None
@@ -117,9 +119,9 @@
     """
     The bounds on leases that a scheduler started at ``started_at`` knows.
 
-    Earlier schedulers granted none beyond ``horizon`` after that; no worker
-    accepts one above ``max_lease``.  All in ms, the start on the monotonic
-    clock.
+    Earlier schedulers granted none beyond ``horizon`` after that, on the clock
+    of the process that they knew; no process accepts one above ``max_lease``.
+    All in ms, the start on the monotonic clock.
     """
 
     started_at: int
@@ -131,13 +133,20 @@
         """When the leases that earlier schedulers granted have expired."""
         return self.started_at + max_elapsed(self.horizon)
 
+    @property
+    def longest_prior_until(self) -> int:
+        """When those have that any process got by the last of their orders."""
+        return self.longest_from(self.started_at + MAX_ORDER_DELAY_MS)
+
     def longest_from(self, now: int) -> int:
         """Return when the longest lease that was given by *now* expires."""
         return now + max_elapsed(self.max_lease)
 
     def lease(self, prior_leases_until: int) -> Lease:
         """Return the lease of a worker that has not answered."""
-        return Lease(prior_leases_until, self.max_lease)
+        return Lease(
+            prior_leases_until, self.longest_prior_until, self.max_lease
+        )
 
 
 def max_elapsed(length: int) -> int:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -396,7 +396,11 @@
 
 def lease(**overrides: Any) -> Lease:
     """Return a lease that nobody has granted."""
-    values: dict[str, Any] = {'prior_leases_until': 0, 'max_lease': 10_000}
+    values: dict[str, Any] = {
+        'prior_leases_until': 0,
+        'longest_until': 0,
+        'max_lease': 10_000,
+    }
     return Lease(**(values | overrides))
 
 
