--- a/cyclamenshift/decisions/leases.py
+++ b/cyclamenshift/decisions/leases.py
@@ -46,10 +46,12 @@
     that any process under the id may have got.
     """
 
-    def __init__(self, prior_leases_until: int, max_lease: int) -> None:
+    def __init__(
+        self, prior_leases_until: int, longest_until: int, max_lease: int
+    ) -> None:
         """Create a lease before the worker's clock is known."""
         self.prior_leases_until = prior_leases_until
-        self.longest_until = prior_leases_until
+        self.longest_until = max(prior_leases_until, longest_until)
         self.max_lease = max_lease
         self.clock = 0
         self.synced_at: int | None = None
@@ -137,13 +139,18 @@
             self.longest_from(self.started_at + REPORT_WAIT_MS),
         )
 
+    @property
+    def longest_prior_until(self) -> int:
+        """When those have that any process got by the last of their orders."""
+        return self.longest_from(self.started_at + MAX_ORDER_DELAY_MS)
+
     def longest_from(self, now: int) -> int:
         """Return when the longest lease that was given by *now* expires."""
         return now + max_elapsed(self.max_lease)
 
     def initial_lease(self) -> Lease:
         """Return the lease of a worker that has not answered."""
-        return Lease(self.prior_until, self.max_lease)
+        return Lease(self.prior_until, self.longest_prior_until, self.max_lease)
 
 
 def max_elapsed(length: int) -> int:
