Acknowledge no ends while another process may have a run

Callers saw a task start again that had ended. A worker restarted under its id and executed start orders that were meant for the process before; the acknowledgement for the ends of that one dropped the ends of the new one, whose numbers start anew. The report then listed neither the run nor its end, so its task was started again.

Cause: that a worker was heard within 1.5 s was taken for proof that the process is the same. But a process has ends only of runs whose orders reached it. Now ends are acknowledged only when each order to the worker has an answer that fits the clock of the process, a refusal, or a report that lists its run. An answer with a clock that the process can't show has told of another one before; the acknowledgement followed it all the same.

Orders under way delay an acknowledgement: after 100 ms the worker is asked for its runs, after 500 ms it gets no further orders until its ends are acknowledged.

--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -128,6 +128,12 @@
         """Whether no process but that of its instance may have the run."""
         return self.confirmation.reported and not self.orders.unanswered
 
+    @property
+    def may_be_elsewhere(self) -> bool:
+        """Whether another process than its instance's may have started it."""
+        is_open = self.orders.unanswered > 0 or self.phase is Phase.unsettled
+        return is_open and not self.confirmation.reported
+
     @property
     def seen_for(self) -> int:
         """For how long the run was seen at work, by the worker's clock, ms."""
--- a/cyclamenshift/decisions/run_ends.py
+++ b/cyclamenshift/decisions/run_ends.py
@@ -6,10 +6,14 @@
 """
 
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from ..job import RunEnd
-from .progress import JobProgress
+from .progress import Attempt, JobProgress
+
+#: How long start orders under way may keep ends from being acknowledged before
+#: the worker gets no more orders, ms.
+MAX_KEPT_MS: Final = 500
 
 
 class PendingRecord(NamedTuple):
@@ -36,6 +40,8 @@
     The worker numbers them and lists each until it is acknowledged.
     ``applied`` is the number of the last one that was applied, ``forgotten``
     that of the last one that the worker does not list any more.
+    ``kept_since`` is since when start orders keep ends from being
+    acknowledged, monotonic ms, None if they don't.
     """
 
     def __init__(self) -> None:
@@ -43,6 +49,7 @@
         self.applied = 0
         self.forgotten = 0
         self.pending: list[PendingRecord] = []
+        self.kept_since: int | None = None
 
     @property
     def acknowledged(self) -> int:
@@ -69,6 +76,17 @@
         """Record that the worker has answered an acknowledgement."""
         self.forgotten = max(self.forgotten, number)
 
+    def record_kept(self, now: int, *, kept: bool) -> None:
+        """Record whether ends are kept from being acknowledged at *now*."""
+        since = now if self.kept_since is None else self.kept_since
+        self.kept_since = since if kept else None
+
+    def is_overdue(self, now: int) -> bool:
+        """Return whether ends have been kept for too long."""
+        return (
+            self.kept_since is not None and now > self.kept_since + MAX_KEPT_MS
+        )
+
     @property
     def unrecorded(self) -> bool:
         """Whether an end was applied that the store does not hold yet."""
@@ -90,3 +108,12 @@
         )
         numbers = [end.number for end in ends]
         self.applied = max(self.applied, *numbers) if numbers else self.applied
+
+
+def may_be_elsewhere(attempts: Iterable[Attempt]) -> bool:
+    """
+    Return whether one of the runs of a process may be at another one.
+
+    That one has ends of its own, with the same numbers.
+    """
+    return any(attempt.may_be_elsewhere for attempt in attempts)
--- a/cyclamenshift/scheduling/lease_renewer.py
+++ b/cyclamenshift/scheduling/lease_renewer.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from ..decisions.progress import Phase
+from ..decisions.run_ends import may_be_elsewhere
 from ..worker import (
     LeaseRenewal,
     RefusalReason,
@@ -24,6 +25,9 @@
 #: How long to wait for the run ends in a report to be stored, ms.  After
 #: that the lease is renewed without acknowledging them; well below a lease.
 RECORD_WAIT_MS: Final = 500
+#: How long to wait for the answers to start orders before the worker is asked
+#: for its runs, ms.
+ANSWER_WAIT_MS: Final = 100
 #: The delay before retrying a worker that sent no report, ms.
 RETRY_DELAY_MS: Final = 150
 #: The delay before retrying a worker that is no longer registered, ms.
@@ -48,7 +52,7 @@
                 await wakeup.wait()
             if not session.closed:
                 await self.renew(self._report_wait())
-                await self._wait_for_records()
+                await self._wait_to_acknowledge()
 
     async def renew(self, wait: int) -> None:
         """
@@ -59,6 +63,9 @@
         """
         session = self.session
         acknowledged = self._ends_to_acknowledge()
+        session.end_log.record_kept(
+            self.clock.now(), kept=self._awaits_answers()
+        )
         order = LeaseRenewal(
             expires=self.state.grant_lease(session),
             fence=self.state.term.epoch,
@@ -125,18 +132,22 @@
         Return the number of the last end to acknowledge now, 0 for none.
 
         A worker that was not heard for a while may have restarted; it first
-        has to report again.
+        has to report again.  One that may have executed an order after a
+        restart has ends of its own, with the same numbers.
         """
         session = self.session
         heard = session.lease.heard_since(self.clock.now() - SILENCE_MS)
         is_known = session.responsive and heard
-        return session.end_log.to_acknowledge if is_known else 0
+        if not is_known or self._awaits_answers():
+            return 0
+        return session.end_log.to_acknowledge
 
-    async def _wait_for_records(self) -> None:
+    async def _wait_to_acknowledge(self) -> None:
         """
         Wait until the listed ends are recorded, so that they can be dropped.
 
-        Until then the worker answers a renewal at once.
+        Until then the worker answers a renewal at once, and so it does while
+        an order may have reached another process.
         """
         end_log = self.session.end_log
         recorder = self.state.recorder
@@ -144,6 +155,16 @@
             while end_log.unrecorded:
                 recorder.notify()
                 await recorder.wait_for_commit()
+        with self.clock.move_on_after(ANSWER_WAIT_MS):
+            while self._awaits_answers():
+                await self.session.wakeup.wait()
+
+    def _awaits_answers(self) -> bool:
+        """Return whether ends are acknowledged only after other answers."""
+        session = self.session
+        attempts = self.state.tracker.attempts_at(session.worker.instance)
+        has_ends = session.end_log.to_acknowledge > 0
+        return has_ends and may_be_elsewhere(attempts)
 
     @singledispatchmethod
     async def _handle(
--- a/cyclamenshift/scheduling/orders.py
+++ b/cyclamenshift/scheduling/orders.py
@@ -99,6 +99,7 @@
             self.attempt.orders.record_answer()
             self.session.calls.open_grants -= 1
             self.session.calls.granted_at = self.session.calls.advance()
+        self.session.wake()
         self.state.bound_successor_leases(self.session)
         metrics = self.state.kernel.metrics
         metrics.run_orders.inc(
--- a/cyclamenshift/scheduling/worker_session.py
+++ b/cyclamenshift/scheduling/worker_session.py
@@ -117,7 +117,8 @@
         stays = self.registered and not self.closed and not self.worker.leaving
         free = now >= max(self.backoff_until, self.reserved_until)
         answers = self.responsive and not self.unsettled
-        return stays and answers and free
+        keeps_ends = self.end_log.is_overdue(now)
+        return stays and answers and free and not keeps_ends
 
     def record_miss(self, now: int, *, refused: bool) -> None:
         """Record a call without a report."""
--- a/tests/standins/run_records.py
+++ b/tests/standins/run_records.py
@@ -40,22 +40,33 @@
 
     ``acknowledged_at`` tells when the end of each task was first acknowledged,
     ``reported_at`` when it was first reported to the scheduler of an epoch.
+    ``reported`` has all ends that a report has brought, with the start time of
+    their worker, and ``dropped`` those that were acknowledged without it.
     """
 
     def __init__(self) -> None:
         """Start without an end."""
         self.acknowledged_at: dict[TaskId, int] = {}
         self.reported_at: dict[tuple[TaskId, int], int] = {}
+        self.reported: set[tuple[int, RunEnd]] = set()
+        self.dropped: list[RunEnd] = []
 
-    def record_report(self, fence: int, ended: Iterable[RunEnd]) -> None:
+    def record_report(
+        self, fence: int, life: int, ended: Iterable[RunEnd]
+    ) -> None:
         """Record that the scheduler of epoch *fence* knows of *ended*."""
         for end in ended:
+            self.reported.add((life, end))
             if end.outcome is RunOutcome.done:
                 self.reported_at.setdefault((end.run.task, fence), now_ms())
 
-    def record_acknowledgement(self, ended: Iterable[RunEnd]) -> None:
+    def record_acknowledgement(
+        self, life: int, ended: Iterable[RunEnd]
+    ) -> None:
         """Record that *ended* were acknowledged."""
         for end in ended:
+            if (life, end) not in self.reported:
+                self.dropped.append(end)
             if end.outcome is RunOutcome.done:
                 self.acknowledged_at.setdefault(end.run.task, now_ms())
 
--- a/tests/standins/worker_client.py
+++ b/tests/standins/worker_client.py
@@ -93,6 +93,9 @@
         if unanswered:
             return unanswered
         execute = partial(self.workers.renew, order=order)
+        delay = self.workers.faults.renewal_delay(order)
+        if delay:
+            return await self._execute_late(worker, execute, delay)
         report = await self._execute(worker, execute)
         if isinstance(report, WorkerReport):
             life = self.workers.life_of(worker)
@@ -136,7 +139,9 @@
         unanswered = await self._delay(next_delay(faults.report_delays))
         if unanswered:
             return unanswered
-        self.workers.known_ends.record_report(order.fence, report.ended)
+        self.workers.known_ends.record_report(
+            order.fence, report.started_at, report.ended
+        )
         return report
 
     async def _bring_back(self, result: OrderResult) -> OrderResult:
--- a/tests/standins/worker_faults.py
+++ b/tests/standins/worker_faults.py
@@ -5,6 +5,8 @@
 The faults of the simulated workers and of the connections to them.
 """
 
+from cyclamenshift.worker import LeaseRenewal
+
 
 class WorkerFaults:
     """
@@ -15,7 +17,10 @@
     ``answer_delays`` for how long reports and answers to other orders are
     delayed on their way back, all in ms.  After each of the next
     ``closed_connections`` orders the worker closes the connection in place of
-    an answer, and after ``closed_reports`` so in place of a report.
+    an answer, and after ``closed_reports`` so in place of a report.  For each
+    value in ``late_renewals`` and ``late_acknowledgements``, one renewal, or
+    one that acknowledges ends, gets no answer and is carried out that many ms
+    late, by the process that is up then.
     """
 
     def __init__(self) -> None:
@@ -25,6 +30,8 @@
         self.answer_delays: list[int] = []
         self.closed_connections = 0
         self.closed_reports = 0
+        self.late_renewals: list[int] = []
+        self.late_acknowledgements: list[int] = []
 
     def clear(self) -> None:
         """End all faults."""
@@ -33,6 +40,14 @@
         self.answer_delays.clear()
         self.closed_connections = 0
         self.closed_reports = 0
+        self.late_renewals.clear()
+        self.late_acknowledgements.clear()
+
+    def renewal_delay(self, order: LeaseRenewal) -> int:
+        """Return how late *order* is carried out, 0 for at once, ms."""
+        is_late = bool(order.acknowledged and self.late_acknowledgements)
+        delays = self.late_acknowledgements if is_late else self.late_renewals
+        return next_delay(delays)
 
     def closes_connection(self) -> bool:
         """Return whether the connection of this order is closed."""
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -182,7 +182,8 @@
         sim.fence = order.fence
         sim.extend_lease(order.expires, now)
         self.known_ends.record_acknowledgement(
-            end for end in sim.ended if end.number <= order.acknowledged
+            sim.worker.started_at,
+            [end for end in sim.ended if end.number <= order.acknowledged],
         )
         sim.ended = [
             end for end in sim.ended if end.number > order.acknowledged
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -72,7 +72,7 @@
     await trio.sleep(1)
     report = workers.renew(first, LeaseRenewal(0, 1, 0, 0))
     assert isinstance(report, WorkerReport)
-    workers.known_ends.record_report(1, report.ended)
+    workers.known_ends.record_report(1, report.started_at, report.ended)
     await trio.sleep(1)
     workers.renew(first, LeaseRenewal(0, 1, acknowledged, 0))
     await trio.sleep(2)
