--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -135,6 +135,12 @@
         listed = self.confirmation.reported and not orders.unanswered
         return listed or (orders.located and not orders.unlocated)
 
+    @property
+    def may_be_elsewhere(self) -> bool:
+        """Whether another process than its instance's may have started it."""
+        is_open = self.orders.unanswered > 0 or self.phase is Phase.unsettled
+        return is_open and not self.confirmation.reported
+
     @property
     def seen_for(self) -> int:
         """For how long the run was seen at work, by the worker's clock, ms."""
