Count only calls that another process may get as late

An acknowledgement or a start order that went to the known process over its own connection is executed by that process or by none, so it neither keeps ends from being acknowledged nor the next process from getting orders.

--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -138,7 +138,8 @@
     @property
     def may_be_elsewhere(self) -> bool:
         """Whether another process than its instance's may have started it."""
-        is_open = self.orders.unanswered > 0 or self.phase is Phase.unsettled
+        is_lost = self.phase is Phase.unsettled and not self.is_confined
+        is_open = self.orders.unlocated > 0 or is_lost
         return is_open and not self.confirmation.reported
 
     @property
--- a/cyclamenshift/scheduling/lease_renewer.py
+++ b/cyclamenshift/scheduling/lease_renewer.py
@@ -79,7 +79,7 @@
         if acknowledged:
             session.end_log.record_sent(asked_at)
         result = await self.state.client.renew(session.worker, order)
-        if not isinstance(result, Unanswered) or not result.sent:
+        if self._is_confined(result):
             session.end_log.record_settled(asked_at)
         if self._is_settled(result):
             session.calls.open_grants -= bool(order.expires)
@@ -111,6 +111,13 @@
             return result.started_at == self.session.worker.started_at
         return isinstance(result, Refused) or not result.sent
 
+    def _is_confined(self, result: WorkerReport | Refused | Unanswered) -> bool:
+        """Return whether no other process can execute the call from now on."""
+        if not isinstance(result, Unanswered):
+            return True
+        known = result.receiver == self.session.worker.started_at
+        return known or not result.sent
+
     def _is_due(self) -> bool:
         """Return whether to call the worker, for its runs or their ends."""
         has_ends = self.session.end_log.unrecorded
