Order no runs from a process whose ends a late call may drop

Callers saw a task start again that had ended. An acknowledgement got no answer, the worker restarted under its id, and its new process got start orders at once. The call was executed then, and dropped the ends of the new process, whose numbers start anew.

--- a/cyclamenshift/decisions/run_ends.py
+++ b/cyclamenshift/decisions/run_ends.py
@@ -9,6 +9,7 @@
 from typing import Final, NamedTuple
 
 from ..job import RunEnd
+from .leases import MAX_ORDER_DELAY_MS
 from .progress import Attempt, JobProgress
 
 #: How long start orders under way may keep ends from being acknowledged before
@@ -41,7 +42,9 @@
     ``applied`` is the number of the last one that was applied, ``forgotten``
     that of the last one that the worker does not list any more.
     ``kept_since`` is since when start orders keep ends from being
-    acknowledged, monotonic ms, None if they don't.
+    acknowledged, monotonic ms, None if they don't.  ``open_calls`` has when
+    each acknowledgement without an answer was sent, monotonic ms, and
+    ``predecessor`` is the log of the process before under the same id.
     """
 
     def __init__(self) -> None:
@@ -50,6 +53,8 @@
         self.forgotten = 0
         self.pending: list[PendingRecord] = []
         self.kept_since: int | None = None
+        self.open_calls: list[int] = []
+        self.predecessor: RunEndLog | None = None
 
     @property
     def acknowledged(self) -> int:
@@ -76,6 +81,33 @@
         """Record that the worker has answered an acknowledgement."""
         self.forgotten = max(self.forgotten, number)
 
+    @property
+    def late_until(self) -> int:
+        """Until when an unanswered acknowledgement may be executed, ms."""
+        own = max(self.open_calls, default=-MAX_ORDER_DELAY_MS)
+        earlier = self.predecessor.late_until if self.predecessor else 0
+        return max(own + MAX_ORDER_DELAY_MS, earlier)
+
+    def may_be_dropped(self, now: int) -> bool:
+        """Return whether a late call may drop the ends of this process."""
+        return self.predecessor is not None and (
+            now <= self.predecessor.late_until
+        )
+
+    def record_sent(self, now: int) -> None:
+        """Record that an acknowledgement is sent at *now*."""
+        self.open_calls = [
+            sent_at
+            for sent_at in self.open_calls
+            if now <= sent_at + MAX_ORDER_DELAY_MS
+        ]
+        self.open_calls.append(now)
+
+    def record_settled(self, sent_at: int) -> None:
+        """Record that the one of *sent_at* can't be executed any more."""
+        if sent_at in self.open_calls:
+            self.open_calls.remove(sent_at)
+
     def record_kept(self, now: int, *, kept: bool) -> None:
         """Record whether ends are kept from being acknowledged at *now*."""
         since = now if self.kept_since is None else self.kept_since
--- a/cyclamenshift/scheduling/lease_renewer.py
+++ b/cyclamenshift/scheduling/lease_renewer.py
@@ -77,7 +77,11 @@
         asked = session.calls.advance()
         asked_at = self.clock.now()
         session.calls.open_grants += bool(order.expires)
+        if acknowledged:
+            session.end_log.record_sent(asked_at)
         result = await self.state.client.renew(session.worker, order)
+        if not isinstance(result, Unanswered) or not result.sent:
+            session.end_log.record_settled(asked_at)
         if self._is_settled(result):
             session.calls.open_grants -= bool(order.expires)
         elif order.expires:
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -216,6 +216,10 @@
         leases_until = session.lease.longest_until
         if session.calls.may_have_leased_successor:
             self.bound_unknown_leases(successor, leases_until)
+        if session.end_log.late_until >= self.clock.now():
+            self.bound_unknown_leases(successor, leases_until)
+            later = self.sessions[successor.instance]
+            later.end_log.predecessor = session.end_log
         self._move_runs(instance, successor, leases_until)
         self._record_crash(session, (*session.given_up, *crashed))
 
--- a/cyclamenshift/scheduling/worker_session.py
+++ b/cyclamenshift/scheduling/worker_session.py
@@ -117,8 +117,10 @@
         stays = self.registered and not self.closed and not self.worker.leaving
         free = now >= max(self.backoff_until, self.reserved_until)
         answers = self.responsive and not self.unsettled
-        keeps_ends = self.end_log.is_overdue(now)
-        return stays and answers and free and not keeps_ends
+        ends_count = not (
+            self.end_log.is_overdue(now) or self.end_log.may_be_dropped(now)
+        )
+        return stays and answers and free and ends_count
 
     def record_miss(self, now: int, *, refused: bool) -> None:
         """Record a call without a report."""
--- a/tests/test_late_acknowledgements.py
+++ b/tests/test_late_acknowledgements.py
@@ -34,11 +34,14 @@
 
 
 async def _restart_later(
-    job_cluster: JobCluster, restart_ms: int, downtime_ms: int
+    job_cluster: JobCluster,
+    restart_ms: int,
+    downtime_ms: int,
+    registration_ms: int = REGISTRATION_MS,
 ) -> None:
     await trio.sleep(restart_ms / 1000)
     worker_id = job_cluster.get_worker_id('desk-vm-1')
-    restart = Restart(worker_id, downtime_ms, REGISTRATION_MS)
+    restart = Restart(worker_id, downtime_ms, registration_ms)
     await restart_worker(job_cluster, restart)
 
 
@@ -120,6 +123,56 @@
     assert not job_cluster.workers.find_violations()
 
 
+async def _acknowledge_late(
+    job_cluster: JobCluster, late_ms: int, restart_ms: int, submit_ms: int
+) -> None:
+    """Delay the acknowledgement for the second of three jobs."""
+    job_cluster.add_workers('desk', 1)
+    (entry,) = await job_cluster.start_all(1)
+    jobs = [
+        job(f'job-{number}', steps=(step(tasks=tasks),))
+        for number, tasks in enumerate((4, 3, 2))
+    ]
+    for submitted in jobs[1:]:
+        for ordinal in range(3):
+            task = TaskId(submitted.job_id, 0, 0, ordinal)
+            job_cluster.workers.run_ms[task] = FIRST_RUN_MS
+    await job_cluster.submit(entry, jobs[0])
+    await job_cluster.wait_for_state(JobState.completed, jobs[0])
+    await trio.sleep(1)
+    job_cluster.workers.faults.late_acknowledgements = [late_ms]
+    await job_cluster.submit(entry, jobs[1])
+    job_cluster.nursery.start_soon(
+        _restart_later, job_cluster, restart_ms, 0, 0
+    )
+    await trio.sleep(submit_ms / 1000)
+    await job_cluster.submit(entry, jobs[2])
+    await job_cluster.wait_for_state(JobState.completed, *jobs)
+
+
+@pytest.mark.parametrize(
+    ('late_ms', 'restart_ms', 'submit_ms'),
+    [
+        (340, 350, 380),
+        (372, 350, 380),
+        (376, 350, 355),
+        (690, 350, 700),
+        (702, 400, 700),
+    ],
+)
+async def test_late_acknowledgement_drops_ends_of_the_next_process(
+    job_cluster: JobCluster,
+    autojump_clock: MockClock,
+    late_ms: int,
+    restart_ms: int,
+    submit_ms: int,
+) -> None:
+    """It was used at once, though the call could still be executed."""
+    await _acknowledge_late(job_cluster, late_ms, restart_ms, submit_ms)
+    assert not job_cluster.workers.known_ends.dropped
+    assert not job_cluster.workers.find_violations()
+
+
 async def test_ends_are_never_acknowledged_beside_steady_orders(
     job_cluster: JobCluster, autojump_clock: MockClock
 ) -> None:
