Keep a run unsettled until its unanswered orders have expired

Callers saw a task run twice. A start order and its repetition got no answer; the worker confirmed the stop of the run, and its next report did not list it, so the task started elsewhere. Then the worker restarted under its id, and the new process, which knew of no stop, executed the order.

Cause: that a process has stopped a run, and so refuses its orders, was applied to the process that follows it. A report that does not list a run proves nothing now while an order for it has no answer. Such orders are forgotten once a report shows that the same process outlived the time in which they may be executed, 3 s; the report is asked for at that moment. A stop that was confirmed no longer delays acknowledgements.

--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -130,9 +130,14 @@
 
     @property
     def may_be_elsewhere(self) -> bool:
-        """Whether another process than its instance's may have started it."""
-        is_open = self.orders.unanswered > 0 or self.phase is Phase.unsettled
-        return is_open and not self.confirmation.reported
+        """
+        Whether another process than its instance's may have started it.
+
+        Its order may be under way, or not settled.
+        """
+        if self.confirmation.reported or self.phase is Phase.stopping:
+            return False
+        return self.orders.unanswered > 0 or self.phase is Phase.unsettled
 
     @property
     def seen_for(self) -> int:
--- a/cyclamenshift/decisions/start_orders.py
+++ b/cyclamenshift/decisions/start_orders.py
@@ -32,6 +32,15 @@
         """Record the answer to an order, or that it was not sent."""
         self.unanswered = max(0, self.unanswered - 1)
 
+    def open_for(self, now: int) -> int | None:
+        """
+        Return for how long an unanswered order may still be executed, ms.
+
+        None stands for no such order; 0 until the next report.
+        """
+        until = self.sent_at + MAX_ORDER_DELAY_MS + 1
+        return max(0, until - now) if self.unanswered else None
+
     def expire(self, alive_at: int) -> None:
         """
         Forget the orders that can't be executed any more.
--- a/cyclamenshift/decisions/verdicts.py
+++ b/cyclamenshift/decisions/verdicts.py
@@ -87,8 +87,12 @@
     It proves nothing about a run that the worker confirmed only after the
     report was asked for: the list may be older than the run.  The order for a
     run of an earlier scheduler is certain to be refused only once the worker
-    has answered under the later epoch.
+    has answered under the later epoch.  Nor does it prove anything while an
+    order has no answer: the process refuses it once it has stopped the run, but
+    not the one that follows a restart.
     """
+    if attempt.orders.unanswered:
+        return Verdict.undecided
     since = (
         evidence.timing.fenced_at
         if attempt.phase is Phase.inherited
--- a/cyclamenshift/scheduling/lease_renewer.py
+++ b/cyclamenshift/scheduling/lease_renewer.py
@@ -87,17 +87,23 @@
         elif order.expires:
             self.state.bound_successor_leases(session)
         if not session.closed:
+            self._expire_orders(result, asked_at)
             await self._handle(result, asked)
         elif isinstance(result, WorkerReport):
             self._apply_late_ends(result)
         if isinstance(result, WorkerReport) and not session.closed:
             session.end_log.confirm(acknowledged)
-            self._expire_orders(asked_at)
 
-    def _expire_orders(self, alive_at: int) -> None:
-        instance = self.session.worker.instance
-        for attempt in self.state.tracker.attempts_at(instance):
-            attempt.orders.expire(alive_at)
+    def _expire_orders(
+        self, result: WorkerReport | Refused | Unanswered, asked_at: int
+    ) -> None:
+        """Forget the orders that the process outlived, by its report."""
+        worker = self.session.worker
+        if not isinstance(result, WorkerReport):
+            return
+        if result.started_at == worker.started_at:
+            for attempt in self.state.tracker.attempts_at(worker.instance):
+                attempt.orders.expire(asked_at)
 
     def _apply_late_ends(self, report: WorkerReport) -> None:
         """Apply the ends in a report that outlasted the session."""
@@ -131,7 +137,12 @@
         inherited = any(each.phase is Phase.inherited for each in attempts)
         decides = inherited and not session.calls.has_fenced_report
         may_hold = session.responsive and not decides
-        return REPORT_WAIT_MS if attempts and may_hold else 0
+        if not attempts or not may_hold:
+            return 0
+        now = self.clock.now()
+        open_for = (each.orders.open_for(now) for each in attempts)
+        times = [each for each in open_for if each is not None]
+        return min((*times, REPORT_WAIT_MS))
 
     def _ends_to_acknowledge(self) -> int:
         """
