--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -137,10 +137,15 @@
 
     @property
     def may_be_elsewhere(self) -> bool:
-        """Whether another process than its instance's may have started it."""
+        """
+        Whether another process than its instance's may have started it.
+
+        Its order may be under way, or not settled.
+        """
+        if self.confirmation.reported or self.phase is Phase.stopping:
+            return False
         is_lost = self.phase is Phase.unsettled and not self.is_confined
-        is_open = self.orders.unlocated > 0 or is_lost
-        return is_open and not self.confirmation.reported
+        return self.orders.unlocated > 0 or is_lost
 
     @property
     def seen_for(self) -> int:
--- a/cyclamenshift/decisions/start_orders.py
+++ b/cyclamenshift/decisions/start_orders.py
@@ -57,6 +57,15 @@
             self.unanswered = 0
             self.unlocated = 0
 
+    def open_for(self, now: int) -> int | None:
+        """
+        Return for how long another process may execute an order, ms.
+
+        None stands for no such order; 0 until the next report.
+        """
+        until = self.sent_at + MAX_ORDER_DELAY_MS + 1
+        return max(0, until - now) if self.unlocated else None
+
     def expire(self, alive_at: int) -> None:
         """
         Forget the orders that can't be executed any more.
