Restart workers behind and before cuts in the soak

The kind `recuts` does both in one event: a worker, by preference one that nobody calls, restarts once or twice and is cut off 0 to 3 s later, or restarts behind the cut. A cut lasts 4 to 16 s, is of both directions or of the way back only, and a job of tasks up to 20 s is submitted around it. Cuts belong to the worker's id, so processes come and go behind them. The workers have been up for a minute: only then is an expiry on their clocks far ahead for a process that restarts.

No worker restarts within 2.5 s after a cut, and during one only by a second event of this kind, in scripts of it alone: runs that were given up start at any moment, and a restart right after that looks as if their task had crashed both workers.

--- a/tests/standins/soak_events.py
+++ b/tests/standins/soak_events.py
@@ -21,11 +21,13 @@
     """
     A caller submits a job with one step for each row of ``run_ms``.
 
-    Each step depends on the one before.  A row has the durations of its tasks.
+    Each step depends on the one before.  A row has the durations of its tasks,
+    of which ``worker_limit`` run at one worker at most, if it is not 0.
     """
 
     run_ms: tuple[tuple[int, ...], ...]
     speculative: bool
+    worker_limit: int = 0
 
 
 class RestartWorker(NamedTuple):
@@ -79,6 +81,7 @@
             tasks=len(durations),
             dependencies=tuple(range(number))[-1:],
             speculative=event.speculative,
+            worker_limit=event.worker_limit,
         )
         for number, durations in enumerate(event.run_ms)
     )
--- a/tests/standins/soak_scripts.py
+++ b/tests/standins/soak_scripts.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Final, TypeAlias
 
 import trio
@@ -31,6 +31,12 @@
     StoreOutage,
 )
 from .race_scripts import ENTRY_COUNT, apply_event
+from .recuts import (
+    RestartAndCut,
+    draw_long_job,
+    draw_restart_and_cut,
+    draw_submission_time,
+)
 from .soak_events import (
     AgeLists,
     CloseConnections,
@@ -49,11 +55,17 @@
 WORKERS: Final = 4
 #: The longest pause between two events, ms; some follow without any.
 MAX_PAUSE_MS: Final = 800
+#: For how long the workers have been up, ms: longer than any lease, so that
+#: an expiry on their clocks is far ahead for a process that restarts.
+UPTIME_MS: Final = 60_000
 #: The longest run of a task, ms.
 MAX_RUN_MS: Final = 3_000
-#: The time between two restarts, ms.  With more of them a task may seem to
-#: crash its workers, and its job is given up.
+#: The time between two restarts, ms, and between the end of a cut, when one is
+#: seen at last, and the next.  With more of them a task may seem to crash its
+#: workers, and its job is given up.
 RESTART_INTERVAL_MS: Final = 2_500
+#: The most restarts with a cut in a script of these alone; others have one.
+MAX_RECUTS: Final = 2
 #: How long a restart and its registration may take, ms.
 MAX_RESTART_MS: Final = 3_000
 #: How much older than its clock a report's lists are at most, ms.
@@ -140,6 +152,7 @@
     'overtaking': _overtake,
     'closing': _close,
     'restarts': _restart,
+    'recuts': draw_restart_and_cut,
     'answers': _lose,
     'entries': _change_entries,
     'store': _fail_store,
@@ -156,23 +169,68 @@
         self.kinds = kinds
         self.elapsed = 0
         self.next_restart = 0
+        self.cut_ends: list[int] = []
+        self.max_recuts = MAX_RECUTS if len(kinds) == 1 else 1
 
     def build(self) -> Script:
         """Return the script."""
-        return tuple(self._draw() for _ in range(EVENTS))
+        return tuple(
+            (pause / 1000, event)
+            for _ in range(EVENTS)
+            for pause, event in self._draw()
+        )
 
-    def _draw(self) -> tuple[float, Any]:
+    def _draw(self) -> Iterable[tuple[int, Any]]:
         rng = self.rng
         pause = rng.choice((0, rng.randrange(50), rng.randrange(MAX_PAUSE_MS)))
         self.elapsed += pause
         kind = rng.choice(self.kinds) if rng.randrange(5) < 3 else ''
         event = KINDS.get(kind, _submit)(rng)
+        if isinstance(event, RestartAndCut):
+            return self._draw_recut(pause, event)
         if isinstance(event, RestartWorker):
-            if self.elapsed < self.next_restart:
+            if self._restart_wait() or self._in_cut():
                 event = _submit(rng)
             else:
                 self.next_restart = self.elapsed + RESTART_INTERVAL_MS
-        return pause / 1000, event
+        return ((pause, event),)
+
+    def _draw_recut(
+        self, pause: int, event: RestartAndCut
+    ) -> Iterable[tuple[int, Any]]:
+        """Wait until *event* may come, and submit a job around the cut."""
+        if len(self.cut_ends) == self.max_recuts:
+            self.elapsed -= pause
+            return ()
+        while self._restart_wait():
+            wait = self._restart_wait()
+            pause += wait
+            self.elapsed += wait
+        self.cut_ends.append(self.elapsed + event.cut_at + event.cut_ms)
+        last_restart = self.elapsed + event.restarts[-1].at
+        self.next_restart = last_restart + RESTART_INTERVAL_MS
+        submit_after = draw_submission_time(self.rng, event)
+        self.elapsed += submit_after
+        job = draw_long_job(self.rng, WORKERS)
+        return (pause, event), (submit_after, job)
+
+    def _in_cut(self) -> bool:
+        """
+        Return whether a worker may be cut off.
+
+        Its runs start elsewhere at any moment, and a restart right after that
+        would look as if they had crashed that worker as well.
+        """
+        return any(self.elapsed < end for end in self.cut_ends)
+
+    def _restart_wait(self) -> int:
+        """Return how long no worker may restart yet, ms."""
+        waits = [
+            end + RESTART_INTERVAL_MS - self.elapsed
+            for end in self.cut_ends
+            if end <= self.elapsed
+        ]
+        return max(0, self.next_restart - self.elapsed, *waits)
 
 
 async def run_soak(script: Script) -> list[str]:
@@ -183,6 +241,8 @@
         trio.lowlevel.add_instrument(detector)
         scenario = Scenario(JobCluster(nursery))
         scenario.cluster.add_workers('desk', WORKERS)
+        for sim in scenario.cluster.workers.instances.values():
+            sim.clock_offset += UPTIME_MS
         await scenario.cluster.start_all(ENTRY_COUNT)
         nursery.start_soon(scenario.watch_for_violations)
         await _apply_all(script, scenario)
--- a/tests/standins/worker_client.py
+++ b/tests/standins/worker_client.py
@@ -43,6 +43,7 @@
 POLL_INTERVAL_MS = 5
 
 CONNECTION_LOST = Unanswered(sent=True, reason='connection lost')
+SILENT = Unanswered(sent=True, reason='silent')
 
 AnswerType = TypeVar('AnswerType')
 
@@ -68,7 +69,7 @@
             self.workers.lose_answers -= 1
             await self.clock.sleep(RESPONSE_TIMEOUT_MS)
             return Unanswered(sent=True, reason='lost')
-        return await self._bring_back(result)
+        return await self._bring_back(worker, result)
 
     async def stop(
         self,
@@ -81,7 +82,8 @@
         if unanswered:
             return unanswered
         execute = partial(self.workers.stop, run=run, fence=fence)
-        return await self._bring_back(await self._execute(worker, execute))
+        result = await self._execute(worker, execute)
+        return await self._bring_back(worker, result)
 
     async def renew(
         self,
@@ -97,7 +99,7 @@
         if isinstance(report, WorkerReport):
             life = self.workers.life_of(worker)
             report = await self._hold_report(life, order, report)
-        unanswered = await self._reach(worker)
+        unanswered = await self._reach_back(worker)
         if unanswered or not isinstance(report, WorkerReport):
             return unanswered or report
         return await self._bring_report_back(order, report)
@@ -139,9 +141,13 @@
         self.workers.known_ends.record_report(order.fence, report.ended)
         return report
 
-    async def _bring_back(self, result: OrderResult) -> OrderResult:
+    async def _bring_back(
+        self, worker: Worker, result: OrderResult
+    ) -> OrderResult:
         """Return the answer to an order that was carried out."""
         faults = self.workers.faults
+        if faults.loses_responses(worker.worker_id):
+            return await self._time_out()
         if faults.closes_connection():
             return CONNECTION_LOST
         return await self._delay(next_delay(faults.answer_delays)) or result
@@ -154,20 +160,34 @@
         return None
 
     async def _reach(self, worker: Worker) -> Unanswered | Refused | None:
+        faults = self.workers.faults
         sim = self.workers.life_of(worker)
+        is_refusal_lost = sim.crashed and faults.loses_responses(
+            worker.worker_id
+        )
+        if faults.loses_calls(worker.worker_id) or is_refusal_lost:
+            return await self._time_out()
         if sim.crashed:
             await self.clock.sleep(ORDER_MS)
             if sim.replaced:
                 return Refused(RefusalReason.replaced)
             return Unanswered(sent=False, reason='refused', refused=True)
         if sim.is_unreachable_from(self.kernel.settings['entry']['id']):
-            await self.clock.sleep(RESPONSE_TIMEOUT_MS)
-            return Unanswered(sent=True, reason='silent')
+            return await self._time_out()
         self.workers.order_count += 1
         extra = SLOW_ORDER_EXTRA_MS * (self.workers.order_count % 2)
         await self.clock.sleep(ORDER_MS + extra)
         return None
 
+    async def _reach_back(self, worker: Worker) -> Unanswered | Refused | None:
+        if self.workers.faults.loses_responses(worker.worker_id):
+            return await self._time_out()
+        return await self._reach(worker)
+
+    async def _time_out(self) -> Unanswered:
+        await self.clock.sleep(RESPONSE_TIMEOUT_MS)
+        return SILENT
+
     async def _execute(
         self,
         worker: Worker,
--- a/tests/standins/worker_faults.py
+++ b/tests/standins/worker_faults.py
@@ -5,6 +5,20 @@
 The faults of the simulated workers and of the connections to them.
 """
 
+from typing import NamedTuple
+
+
+class Cut(NamedTuple):
+    """
+    A cut between the worker with this id and all entry VMs.
+
+    Its processes come and go behind it.  If it is ``one_way``, calls reach
+    the worker, but no response comes back.
+    """
+
+    worker_id: str
+    one_way: bool
+
 
 class WorkerFaults:
     """
@@ -15,7 +29,8 @@
     ``answer_delays`` for how long reports and answers to other orders are
     delayed on their way back, all in ms.  After each of the next
     ``closed_connections`` orders the worker closes the connection in place of
-    an answer, and after ``closed_reports`` so in place of a report.
+    an answer, and after ``closed_reports`` so in place of a report.  A cut in
+    ``cuts`` lasts until it is removed.
     """
 
     def __init__(self) -> None:
@@ -25,6 +40,7 @@
         self.answer_delays: list[int] = []
         self.closed_connections = 0
         self.closed_reports = 0
+        self.cuts: list[Cut] = []
 
     def clear(self) -> None:
         """End all faults."""
@@ -33,6 +49,20 @@
         self.answer_delays.clear()
         self.closed_connections = 0
         self.closed_reports = 0
+        self.cuts.clear()
+
+    def heal(self, cut: Cut) -> None:
+        """End *cut*, unless all faults have ended before."""
+        if cut in self.cuts:
+            self.cuts.remove(cut)
+
+    def loses_calls(self, worker_id: str) -> bool:
+        """Return whether calls to a worker get lost."""
+        return Cut(worker_id, one_way=False) in self.cuts
+
+    def loses_responses(self, worker_id: str) -> bool:
+        """Return whether the responses of a worker get lost."""
+        return any(cut.worker_id == worker_id for cut in self.cuts)
 
     def closes_connection(self) -> bool:
         """Return whether the connection of this order is closed."""
