--- a/tests/test_cut_after_restart.py
+++ b/tests/test_cut_after_restart.py
@@ -21,6 +21,7 @@
 from .standins.restarts import Restart, restart_worker
 from .standins.sim_worker import now_ms
 from .standins.worker_client import RESPONSE_TIMEOUT_MS
+from .standins.worker_faults import Cut
 
 #: Longer than any lease, s and ms.
 UPTIME_S = 20
@@ -28,6 +29,8 @@
 #: The directory shows the new process only after the end of the test, ms.
 REGISTRATION_MS = 10 * LONG_RUN_MS
 PAUSE_S = 0.05
+#: Longer than a lease that was granted, but shorter than the longest lease.
+SHORT_CUT_S = 7
 TASKS = 3
 FIRST_TASK = TaskId('job-1', 0, 0, 0)
 #: For how long a poll and the calls after it may go unanswered before the
@@ -85,6 +88,28 @@
     assert not job_cluster.workers.find_violations()
 
 
+@pytest.mark.parametrize('cut_ms', [0, 100, 2_000])
+async def test_done_task_runs_again_after_an_unseen_restart_and_a_cut(
+    job_cluster: JobCluster, autojump_clock: MockClock, cut_ms: int
+) -> None:
+    """The new process did the work, but none of its responses came back."""
+    job_cluster.add_workers('desk', 1)
+    (entry,) = await job_cluster.start_all(1)
+    await trio.sleep(UPTIME_S)
+    worker_id = job_cluster.get_worker_id('desk-vm-1')
+    restart = Restart(worker_id, 0, REGISTRATION_MS)
+    job_cluster.nursery.start_soon(restart_worker, job_cluster, restart)
+    await trio.sleep(cut_ms / 1000)
+    job_cluster.workers.faults.cuts.append(Cut(worker_id, one_way=True))
+    await job_cluster.submit(entry, job(steps=(step(tasks=TASKS),)))
+    job_cluster.add_vm('desk-vm-2', 'desk')
+    await trio.sleep(SHORT_CUT_S)
+    job_cluster.workers.faults.clear()
+    await trio.sleep(LONG_RUN_MS / 1000)
+    assert job_cluster.workers.count_starts(FIRST_TASK) == 1
+    assert not job_cluster.workers.find_violations()
+
+
 @pytest.mark.parametrize('worked_ms', [60, 500, 3_000])
 async def test_work_of_a_plain_cut_waits_for_its_own_lease_only(
     job_cluster: JobCluster, autojump_clock: MockClock, worked_ms: int
