--- a/tests/standins/worker_faults.py
+++ b/tests/standins/worker_faults.py
@@ -5,9 +5,23 @@
 The faults of the simulated workers and of the connections to them.
 """
 
+from typing import NamedTuple
+
 from cyclamenshift.worker import LeaseRenewal
 
 
+class Cut(NamedTuple):
+    """
+    A cut between the worker with this id and all entry VMs.
+
+    Its processes come and go behind it.  If it is ``one_way``, calls reach
+    the worker, but no response comes back.
+    """
+
+    worker_id: str
+    one_way: bool
+
+
 class WorkerFaults:
     """
     What happens to the next calls of workers; without entries, nothing.
@@ -20,7 +34,8 @@
     an answer, and after ``closed_reports`` so in place of a report.  For each
     value in ``late_renewals`` and ``late_acknowledgements``, one renewal, or
     one that acknowledges ends, gets no answer and is carried out that many ms
-    late, by the process that is up then.
+    late, by the process that is up then.  A cut in ``cuts`` lasts until it is
+    removed.
     """
 
     def __init__(self) -> None:
@@ -32,6 +47,7 @@
         self.closed_reports = 0
         self.late_renewals: list[int] = []
         self.late_acknowledgements: list[int] = []
+        self.cuts: list[Cut] = []
 
     def clear(self) -> None:
         """End all faults."""
@@ -42,6 +58,20 @@
         self.closed_reports = 0
         self.late_renewals.clear()
         self.late_acknowledgements.clear()
+        self.cuts.clear()
+
+    def heal(self, cut: Cut) -> None:
+        """End *cut*, unless all faults have ended before."""
+        if cut in self.cuts:
+            self.cuts.remove(cut)
+
+    def loses_calls(self, worker_id: str) -> bool:
+        """Return whether calls to a worker get lost."""
+        return Cut(worker_id, one_way=False) in self.cuts
+
+    def loses_responses(self, worker_id: str) -> bool:
+        """Return whether the responses of a worker get lost."""
+        return any(cut.worker_id == worker_id for cut in self.cuts)
 
     def renewal_delay(self, order: LeaseRenewal) -> int:
         """Return how late *order* is carried out, 0 for at once, ms."""
