Show a late order that starts an ended task again (known failure)

Callers may see a task start again that has ended: the first of two orders for a run is executed late, by a process that restarted after the repetition had ended at the one before. The platform offers no call that revokes the first order.

--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -80,3 +80,21 @@
         await job_cluster.wait_until(
             lambda: job_cluster.workers.count_starts(TASK)
         )
+
+
+@pytest.mark.xfail(strict=True, reason='issue 40, see KNOWN-RED.txt')
+async def test_late_order_is_executed_after_its_repetition_has_ended(
+    job_cluster: JobCluster, autojump_clock: MockClock
+) -> None:
+    """The process that had executed the repetition was gone."""
+    job_cluster.add_workers('desk', 1)
+    (entry,) = await job_cluster.start_all(1)
+    await trio.sleep(UPTIME_S)
+    job_cluster.workers.late_order_delays = [1_800]
+    await job_cluster.submit(entry, job(steps=(step(tasks=1),)))
+    await trio.sleep(1.5)
+    worker_id = job_cluster.get_worker_id('desk-vm-1')
+    restart = Restart(worker_id, 0, 0)
+    job_cluster.nursery.start_soon(restart_worker, job_cluster, restart)
+    await trio.sleep(UPTIME_S)
+    assert not job_cluster.workers.find_violations()
