Wait for no predecessor in the first epoch of a domain

Since every scheduler waits for the longest lease of its predecessor, work of workers that were lost in the first seconds of the whole system started 11 s later: two tests failed (test_many_suspects_start_soon_after_the_loss_of_a_rack, test_worker_is_reused_after_its_leases_expired) and pass. The first epoch of a domain has no predecessor. And a poll that is executed late may count its lease from its end, so the longest wait allows for both.

--- a/cyclamenshift/decisions/leases.py
+++ b/cyclamenshift/decisions/leases.py
@@ -11,6 +11,8 @@
 #: platform specifies for leases.
 CLOCK_LAG_PERCENT: Final = 2
 PERCENT: Final = 100
+#: The epoch of the first owner of a domain.
+FIRST_EPOCH: Final = 1
 #: How long a worker may hold a report while no run ends (long poll), ms.  The
 #: lease that the poll grants may count from its end.
 REPORT_WAIT_MS: Final = 1_000
@@ -90,7 +92,8 @@
         """Grant *length* ms from now; return the worker's time of expiry."""
         expires = self.estimate_clock(now) + length
         self.granted_until = max(self.granted_until, expires)
-        longest_until = now + MAX_ORDER_DELAY_MS + max_elapsed(self.max_lease)
+        latest = now + MAX_ORDER_DELAY_MS + REPORT_WAIT_MS
+        longest_until = latest + max_elapsed(self.max_lease)
         self.longest_until = max(self.longest_until, longest_until)
         return expires
 
@@ -125,15 +128,19 @@
     Earlier schedulers granted none beyond ``horizon`` after that.  But where
     they had not seen the restart of a worker, it has the longest lease that
     workers accept, ``max_lease``.  All in ms, the start on the monotonic clock.
+    The scheduler of the first ``epoch`` of its domain has no predecessor.
     """
 
     started_at: int
     horizon: int
     max_lease: int
+    epoch: int
 
     @property
     def prior_until(self) -> int:
         """When the leases by orders of earlier schedulers have expired."""
+        if self.epoch <= FIRST_EPOCH:
+            return self.started_at
         return max(
             self.started_at + max_elapsed(self.horizon),
             self.longest_from(self.started_at + REPORT_WAIT_MS),
@@ -142,6 +149,8 @@
     @property
     def longest_prior_until(self) -> int:
         """When those have that any process got by the last of their orders."""
+        if self.epoch <= FIRST_EPOCH:
+            return self.started_at
         return self.longest_from(self.started_at + MAX_ORDER_DELAY_MS)
 
     def longest_from(self, now: int) -> int:
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -76,6 +76,7 @@
             self.clock.now(),
             self.settings['lease_horizon'],
             self.settings['max_lease'],
+            term.epoch,
         )
         self.changed = trio.Event()
 
