Give a worker orders again once its ends are acknowledged

Ends that start orders under way keep from being acknowledged stop further orders to their worker after 500 ms. If another call acknowledged them meanwhile, the worker got no order until its next end, which never came.

--- a/cyclamenshift/decisions/run_ends.py
+++ b/cyclamenshift/decisions/run_ends.py
@@ -80,6 +80,8 @@
     def confirm(self, number: int) -> None:
         """Record that the worker has answered an acknowledgement."""
         self.forgotten = max(self.forgotten, number)
+        if not self.to_acknowledge:
+            self.kept_since = None
 
     @property
     def late_until(self) -> int:
