Keep a session while its calls may act on the next process

The session was dropped as that of an unregistered worker, so nobody knew of the call, which gave the new process the longest lease. Also the bound that a restarted process has passes to the one after it now.

--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -185,6 +185,8 @@
         """
         Close the session of an unregistered worker once it has no runs.
 
+        The next process under its id has to know of the calls that may still
+        act on it.
         Another registration under its id does not prove that it has restarted;
         a report of the process that it tells of does.
         """
@@ -194,7 +196,9 @@
             and bool(session.given_up)
             and not session.closed
         )
-        if not self.state.has_runs(session) and not awaits_report:
+        if session.affects_successor(self.clock.now()) or awaits_report:
+            return
+        if not self.state.has_runs(session):
             self.state.close_session(session, 'gone', restarted=False)
             self.state.sessions.pop(session.worker.instance)
 
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -212,7 +212,7 @@
         self._mark_runs_lost(session, ProcessRestarted(), 'worker restarted')
         successor = session.worker._replace(started_at=started_at)
         leases_until = session.lease.longest_until
-        if session.calls.may_have_leased_successor:
+        if session.may_have_leased_successor(self.clock.now()):
             self.bound_unknown_leases(successor, leases_until)
         if session.end_log.late_until >= self.clock.now():
             self.bound_unknown_leases(successor, leases_until)
--- a/cyclamenshift/scheduling/worker_session.py
+++ b/cyclamenshift/scheduling/worker_session.py
@@ -105,6 +105,18 @@
         heard = self.lease.heard_at is not None
         return now if heard and self.silence is None else self.lease.heard_at
 
+    def may_have_leased_successor(self, now: int) -> bool:
+        """Return whether the next process under its id may have a lease."""
+        earlier = self.lease.prior_leases_until > now
+        return earlier or self.calls.may_have_leased_successor
+
+    def affects_successor(self, now: int) -> bool:
+        """Return whether its calls may act on the next process at *now*."""
+        until = self.end_log.late_until
+        if self.may_have_leased_successor(now):
+            until = max(until, self.lease.longest_until)
+        return now <= until
+
     def update(self, worker: Worker) -> None:
         """Take over what changed in the registration of the worker."""
         if self.has_reported:
