Test the first epoch and known receivers by themselves

Two fixes had only the tests of the suite that they mended. Each of the new tests was seen to fail with its fix taken out. Two docstrings are set in paragraphs.

--- a/cyclamenshift/scheduling/lease_renewer.py
+++ b/cyclamenshift/scheduling/lease_renewer.py
@@ -59,6 +59,7 @@
 
         A worker does not hold a report for which it drops ends: another process
         would drop those of the runs that are ordered meanwhile.
+
         If the session was closed meanwhile, only the ends in the answer count:
         the worker may have a new session, whose runs it does not tell of.
         """
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -185,10 +185,10 @@
         """
         Close the session of an unregistered worker once it has no runs.
 
-        The next process under its id has to know of the calls that may still
-        act on it.
-        Another registration under its id does not prove that it has restarted;
-        a report of the process that it tells of does.
+        It is kept while its calls may act on the next process under its id,
+        which has to know of them.  Another registration under the id does not
+        prove that it has restarted; a report of the process that it tells of
+        does.
         """
         current = self.directory.workers.get(session.worker.worker_id)
         awaits_report = (
--- a/tests/test_start_orders.py
+++ b/tests/test_start_orders.py
@@ -8,7 +8,11 @@
 import pytest
 
 from cyclamenshift.decisions.evidence import LeasesExpired, ProcessRestarted
-from cyclamenshift.decisions.leases import ClockReading, max_elapsed
+from cyclamenshift.decisions.leases import (
+    ClockReading,
+    LeaseBounds,
+    max_elapsed,
+)
 from cyclamenshift.decisions.progress import Attempt, Phase
 from cyclamenshift.decisions.tracker import JobTracker
 from cyclamenshift.decisions.verdicts import judge
@@ -127,3 +131,24 @@
 ) -> None:
     """Any other run is settled at the process that followed."""
     assert judge(ProcessRestarted(), _order(tracker, *answers)) == verdict
+
+
+@pytest.mark.parametrize(
+    ('answer', 'keeps'),
+    [(UNKNOWN, True), (OTHER, True), (KNOWN, False), (ACCEPTED, False)],
+)
+def test_order_to_the_known_process_keeps_ends_from_being_acknowledged(
+    tracker: JobTracker, answer: OrderResult, *, keeps: bool
+) -> None:
+    """Only one that another process may execute has to."""
+    assert _order(tracker, answer).may_be_elsewhere is keeps
+
+
+@pytest.mark.parametrize(('epoch', 'waits'), [(1, False), (2, True)])
+def test_first_owner_waits_for_the_leases_of_a_predecessor(
+    epoch: int, *, waits: bool
+) -> None:
+    """Nobody has granted a lease before the first epoch."""
+    first = LeaseBounds(0, 2 * LEASE_MS, LEASE_MS, epoch).initial_lease()
+    assert first.all_expired(EXPIRED_AT) is not waits
+    assert first.longest_expired(EXPIRED_AT) is not waits
