--- /dev/null
+++ b/cyclamenshift/decisions/accounts/__init__.py
@@ -0,0 +1,6 @@
+"""
+cyclamenshift.decisions.accounts
+================================
+
+Decisions about client accounts: their keys, limits and shares.
+"""
--- /dev/null
+++ b/cyclamenshift/decisions/overload/__init__.py
@@ -0,0 +1,6 @@
+"""
+cyclamenshift.decisions.overload
+================================
+
+Decisions that matter most when there is more work than capacity.
+"""
