Add accounts to the catalog and settings for overload

Catalogs hold client accounts, whose keys are kept as digests, and jobs name their account. The new settings in the section overload are off by default. Not used yet.

--- a/cyclamenshift/directory.py
+++ b/cyclamenshift/directory.py
@@ -7,10 +7,10 @@
 
 import abc
 from collections.abc import Mapping
-from typing import ClassVar, NamedTuple
+from typing import ClassVar, Final, NamedTuple
 
 from .component import Component
-from .job import JobState
+from .job import NO_RESOURCES, JobState, Resources
 from .worker import Worker
 
 
@@ -33,7 +33,8 @@
 
     ``priority`` 0 is the highest.  A job fails once one of its tasks has
     failed ``attempts`` times.  The target duration of a job is ``stretch``
-    times the length of its critical path, plus ``allowance`` ms.
+    times the length of its critical path, plus ``allowance`` ms.  A queue
+    with ``open_access`` serves callers without an access key.
     """
 
     name: str
@@ -45,6 +46,23 @@
     stretch: float
     allowance: int
     advice: AdviserCosts | None = None
+    open_access: bool = True
+
+
+class Account(NamedTuple):
+    """
+    A client account, whose access keys are kept as digests.
+
+    ``priority`` 0 is the highest.  When capacity is insufficient, the account
+    is entitled to ``weight`` jobs a second.  ``limit`` bounds the resources
+    of all its running tasks; 0 of a resource stands for no limit.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = ()
+    priority: int = 0
+    weight: float = 1
+    limit: Resources = NO_RESOURCES
 
 
 class Service(NamedTuple):
@@ -60,13 +78,22 @@
     rejects_overload: bool
 
 
+#: The accounts of a configuration without any; all its queues are open.
+NO_ACCOUNTS: Final[Mapping[str, Account]] = {}
+
+
 class Catalog(NamedTuple):
-    """One version of the configuration of queues and services."""
+    """One version of the configuration of queues, services and accounts."""
 
     version: int
     queues: Mapping[str, Queue]
     services: Mapping[str, Service]
     body_limit: int
+    accounts: Mapping[str, Account] = NO_ACCOUNTS
+
+    def account(self, name: str) -> Account | None:
+        """Return an account by name, None if there is none."""
+        return self.accounts.get(name)
 
 
 class Maintenance(NamedTuple):
--- a/cyclamenshift/job.py
+++ b/cyclamenshift/job.py
@@ -123,7 +123,8 @@
     ``occurrences`` is the number of times that the steps run; 0 means once,
     without a due time.  ``first_due`` is the due time of the first
     occurrence, ms since the epoch; ``interval`` is in ms.  ``accepted`` is
-    the time at which the job was stored, ms since the epoch.
+    the time at which the job was stored, ms since the epoch.  ``account`` is
+    the client account that submitted it, empty if its queue has open access.
     """
 
     job_id: str
@@ -134,6 +135,7 @@
     first_due: int = 0
     interval: int = 0
     accepted: int = 0
+    account: str = ''
 
     def same_as(self, other: 'Job') -> bool:
         """Return whether *other* is this job, submitted again."""
--- a/cyclamenshift/jobrows.py
+++ b/cyclamenshift/jobrows.py
@@ -8,10 +8,11 @@
 that a transaction on rows of a domain can check the row of its owner.
 """
 
-from typing import Final, NotRequired, TypedDict
+from typing import Final, NotRequired, TypedDict, cast
 
+from .compatibility import trim_defaults
 from .job import Job, JobState
-from .store import Key
+from .store import Key, Row
 
 #: The owner of each domain.
 OWNER_TABLE: Final = 'owner'
@@ -46,6 +47,17 @@
     job: Job
 
 
+class RefusedJobRow(TypedDict):
+    """
+    ``job/SERVICE/ID``: the job was refused for lack of capacity.
+
+    It keeps a write of the same job whose outcome is unknown from taking
+    effect later.  ``refused`` is when, ms since the epoch.
+    """
+
+    refused: int
+
+
 class ActiveRun(TypedDict):
     """
     A run that may be active; it is recorded before the start order is sent.
@@ -129,6 +141,21 @@
     return Key(OWNER_TABLE, 'holder', domain)
 
 
+def job_row(job: Job) -> JobRow:
+    """
+    Return the row of a job.
+
+    An empty account is left out, so that builds without accounts can read the
+    rows of jobs that have none.
+    """
+    return JobRow(job=cast(Job, trim_defaults(job)))
+
+
+def is_refusal(row: Row) -> bool:
+    """Return whether a row of the job table stands for a refused job."""
+    return 'refused' in row.fields
+
+
 def job_key(service: str, job_id: str) -> Key:
     """Return the key of a job's row."""
     return Key(JOB_TABLE, job_id, service)
--- a/cyclamenshift/settings.py
+++ b/cyclamenshift/settings.py
@@ -114,6 +114,20 @@
     provider: str
 
 
+class OverloadSettings(TypedDict):
+    """
+    What the schedulers do about uneven demand and insufficient capacity.
+
+    Each is off by default, so that a deployment is served as before until its
+    settings ask for it.
+    """
+
+    learned_run_times: bool
+    demand_forecast: bool
+    worker_health: bool
+    admission_control: bool
+
+
 class EndpointSettings(TypedDict):
     """The connections to workers."""
 
@@ -132,6 +146,7 @@
     store: StoreSettings
     endpoint: EndpointSettings
     jobs: JobSettings
+    overload: OverloadSettings
 
 
 #: The default settings.
@@ -194,6 +209,12 @@
         'registration_age': 3_000,
         'provider': '',
     },
+    'overload': {
+        'learned_run_times': False,
+        'demand_forecast': False,
+        'worker_health': False,
+        'admission_control': False,
+    },
 }
 
 
