Require access keys where a configuration has accounts

A call for a job of a queue without open access gets 401 without a key of an account, 503 while the configuration is not confirmed, and finds jobs of its own account only. The account is stored with the job. An odd account makes the whole version unusable, so the last one stays in force. Rows and messages of jobs without an account are encoded as before, so that older builds read them.

--- a/cyclamenshift/compatibility.py
+++ b/cyclamenshift/compatibility.py
@@ -15,8 +15,9 @@
     Readers reject an array that is longer than they expect, and set fields
     that are missing at the end to their defaults.
     """
+    names: tuple[str, ...] = getattr(fields, '_fields', ())
     defaults: dict[str, Any] = getattr(fields, '_field_defaults', {})
-    last = getattr(fields, '_fields', ('',))[-1]
-    if last in defaults and fields[-1] == defaults[last]:
-        return tuple(fields[:-1])
+    if names and names[-1] in defaults:
+        if fields[-1] == defaults[names[-1]]:
+            return tuple(fields[:-1])
     return fields
--- a/cyclamenshift/controls/job_access.py
+++ b/cyclamenshift/controls/job_access.py
@@ -17,6 +17,7 @@
 
 from ..component import Host
 from ..control import Control
+from ..decisions.accounts.keys import may_access
 from ..directory import Directory, Queue
 from ..job import Job, JobState
 from ..jobmessages import (
@@ -28,7 +29,7 @@
     StateAnswer,
     StateQuery,
 )
-from ..jobrows import CancelRow, JobRow, cancel_key, job_key
+from ..jobrows import CancelRow, JobRow, cancel_key, job_key, job_row
 from ..peer import NoReply, Payload
 from ..plugin import register
 from ..queuehistory import QueueHistory
@@ -131,9 +132,15 @@
         queue: Queue,
         job_id: str,
         wait: int,
+        account: str | None = None,
     ) -> JobState | NoSuchJob | Unavailable:
-        """Return the state of a job, from its owner or from the store."""
-        located = await self._locate(queue, job_id, wait)
+        """
+        Return the state of a job, from its owner or from the store.
+
+        A caller with an *account* finds its own jobs only; None stands for a
+        caller of a queue with open access.
+        """
+        located = await self._locate(queue, job_id, wait, account)
         return located.state if isinstance(located, LocatedJob) else located
 
     async def cancel(
@@ -141,10 +148,11 @@
         queue: Queue,
         job_id: str,
         wait: int,
+        account: str | None = None,
     ) -> Stored | NoSuchJob | Unavailable:
         """Store the cancellation of a job, and notify the owner."""
         deadline = self.clock.now() + wait
-        located = await self._locate(queue, job_id, wait)
+        located = await self._locate(queue, job_id, wait, account)
         if not isinstance(located, LocatedJob):
             return located
         if located.state.final:
@@ -203,7 +211,7 @@
         job: Job,
         wait: int,
     ) -> SubmitResult:
-        if self.store.size_of(JobRow(job=job)) > self.row_limit:
+        if self.store.size_of(job_row(job)) > self.row_limit:
             return Unstorable('too large to be stored; use several jobs')
         if not self.store.usable:
             return NotStored(
@@ -249,7 +257,7 @@
         result = await self.row_writer.write(
             job_key(service, job.job_id),
             ABSENT,
-            JobRow(job=job),
+            job_row(job),
         )
         if isinstance(result, Written):
             self.ownership.notify_owner(service, JobStored(service, job))
@@ -262,6 +270,7 @@
         queue: Queue,
         job_id: str,
         wait: int,
+        account: str | None,
     ) -> LocatedJob | NoSuchJob | Unavailable:
         """Find a job at the owner of its queue's service, or in the store."""
         reply = await self.ownership.call_owner(
@@ -271,11 +280,13 @@
         )
         if isinstance(reply, StateAnswer) and reply.state:
             if reply.queue == queue.name:
-                return LocatedJob(queue.service, reply.state)
+                if may_access(reply.account, account):
+                    return LocatedJob(queue.service, reply.state)
+                return NoSuchJob()
         found = await self.places.find(queue, job_id)
         if isinstance(found, Unavailable):
             return found
-        if found is None:
+        if found is None or not may_access(found.account, account):
             return NoSuchJob()
         return LocatedJob(found.service, found.state)
 
--- a/cyclamenshift/controls/job_places.py
+++ b/cyclamenshift/controls/job_places.py
@@ -25,11 +25,12 @@
 
 
 class StoredJob(NamedTuple):
-    """A job, the service that keeps it, and its recorded state."""
+    """A job, the service that keeps it, its recorded state and its account."""
 
     service: str
     row: Row
     state: JobState
+    account: str
 
 
 class Place(NamedTuple):
@@ -122,8 +123,11 @@
     for job, progress in pairs:
         if job.version == ABSENT or is_reference(job):
             continue
-        if decode_row(job, JobRow)['job'].queue == queue.name:
-            return StoredJob(job.key.partition, job, _state_in(progress))
+        stored = decode_row(job, JobRow)['job']
+        if stored.queue == queue.name:
+            return StoredJob(
+                job.key.partition, job, _state_in(progress), stored.account
+            )
     return None
 
 
--- a/cyclamenshift/directory.py
+++ b/cyclamenshift/directory.py
@@ -125,6 +125,11 @@
     def catalog(self) -> Catalog | None:
         """The active configuration, None before the first is read."""
 
+    @property
+    @abc.abstractmethod
+    def catalog_age(self) -> int:
+        """How long ago the configuration was last known to be current, ms."""
+
     @property
     @abc.abstractmethod
     def workers(self) -> Mapping[str, Worker]:
--- a/cyclamenshift/jobmessages.py
+++ b/cyclamenshift/jobmessages.py
@@ -58,6 +58,18 @@
     """The called entry VM does not own the service and did nothing."""
 
 
+@register_payload
+class JobRefused(NamedTuple):
+    """
+    The owner of the service refused a job, which has not run and will not.
+
+    The caller should submit it again in ``retry_after`` ms.
+    """
+
+    reason: str
+    retry_after: int
+
+
 @register_payload
 class JobStored(NamedTuple):
     """Notifies the owner of a service that a job was stored."""
@@ -88,11 +100,13 @@
     The state of a job; None if the owner knows no such job.
 
     ``owned`` is false if the called entry VM does not own the service.
+    ``account`` is the client account of the job.
     """
 
     owned: bool
     queue: str
     state: JobState | None
+    account: str = ''
 
 
 @register_payload
--- a/cyclamenshift/jobrows.py
+++ b/cyclamenshift/jobrows.py
@@ -12,7 +12,7 @@
 
 from .compatibility import trim_defaults
 from .job import Job, JobState
-from .store import Key, Row
+from .store import Key
 
 #: The owner of each domain.
 OWNER_TABLE: Final = 'owner'
@@ -47,17 +47,6 @@
     job: Job
 
 
-class RefusedJobRow(TypedDict):
-    """
-    ``job/SERVICE/ID``: the job was refused for lack of capacity.
-
-    It keeps a write of the same job whose outcome is unknown from taking
-    effect later.  ``refused`` is when, ms since the epoch.
-    """
-
-    refused: int
-
-
 class ActiveRun(TypedDict):
     """
     A run that may be active; it is recorded before the start order is sent.
@@ -151,11 +140,6 @@
     return JobRow(job=cast(Job, trim_defaults(job)))
 
 
-def is_refusal(row: Row) -> bool:
-    """Return whether a row of the job table stands for a refused job."""
-    return 'refused' in row.fields
-
-
 def job_key(service: str, job_id: str) -> Key:
     """Return the key of a job's row."""
     return Key(JOB_TABLE, job_id, service)
--- a/cyclamenshift/peers/frames.py
+++ b/cyclamenshift/peers/frames.py
@@ -15,6 +15,7 @@
 import msgpack
 import msgspec
 
+from ..compatibility import trim_defaults
 from ..errors import ProtocolError
 from ..peer import (
     PAYLOAD_TYPES,
@@ -122,7 +123,12 @@
 
 
 def _pack(payload: Payload) -> tuple[Any, ...]:
-    return (type(payload).__name__, *payload)
+    fields = map(_trim_nested, trim_defaults(payload))
+    return (type(payload).__name__, *fields)
+
+
+def _trim_nested(field: Any) -> Any:
+    return trim_defaults(field) if isinstance(field, tuple) else field
 
 
 def _decode(frame: Any) -> Message:
--- a/cyclamenshift/platform/configuration.py
+++ b/cyclamenshift/platform/configuration.py
@@ -8,7 +8,16 @@
 from typing import Final, NotRequired, TypedDict
 
 from ..clock import MS_PER_SECOND
-from ..directory import AdviserCosts, Catalog, Maintenance, Queue, Service
+from ..directory import (
+    NO_ACCOUNTS,
+    AdviserCosts,
+    Catalog,
+    Maintenance,
+    Queue,
+    Service,
+)
+from .accounts import TenantBody, decode_accounts
+from .wire import Unreadable
 
 #: The key of the configuration in the operator table.
 CONFIG_KEY: Final = 'config'
@@ -36,6 +45,8 @@
         # The time allowed in addition to the stretched critical path.
         'targetDurationMs': NotRequired[int],
         'advice': NotRequired[AdviserBody | None],
+        # Whether callers need no access key.
+        'noAuth': NotRequired[bool],
     },
 )
 #: A service.
@@ -58,6 +69,8 @@
         'routes': list[RouteBody],
         'services': list[ServiceBody],
         'limits': LimitsBody,
+        # Missing where callers need no access keys at all.
+        'tenants': NotRequired[list[TenantBody]],
     },
 )
 #: A request for maintenance, which the platform calls a wave.
@@ -73,12 +86,17 @@
 )
 
 
-def decode_catalog(body: ConfigBody) -> Catalog:
-    """Return the queues and services of a configuration."""
+def decode_catalog(body: ConfigBody) -> Catalog | Unreadable:
+    """Return the queues, services and accounts of a configuration."""
+    has_accounts = 'tenants' in body
+    accounts = decode_accounts(body.get('tenants', ()))
+    if isinstance(accounts, Unreadable):
+        return accounts
     return Catalog(
         version=body['version'],
         queues={
-            route['name']: _decode_queue(route) for route in body['routes']
+            route['name']: _decode_queue(route, has_accounts=has_accounts)
+            for route in body['routes']
         },
         services={
             service['name']: Service(
@@ -89,6 +107,7 @@
             for service in body['services']
         },
         body_limit=body['limits']['maxBodyBytes'],
+        accounts=accounts if has_accounts else NO_ACCOUNTS,
     )
 
 
@@ -102,7 +121,7 @@
     )
 
 
-def _decode_queue(route: RouteBody) -> Queue:
+def _decode_queue(route: RouteBody, *, has_accounts: bool) -> Queue:
     return Queue(
         name=route['name'],
         host=route['host'],
@@ -113,6 +132,7 @@
         stretch=route.get('stretch', 1),
         allowance=route.get('targetDurationMs', 0),
         advice=_decode_adviser_costs(route.get('advice')),
+        open_access=route.get('noAuth', False) or not has_accounts,
     )
 
 
--- a/cyclamenshift/platform/directory.py
+++ b/cyclamenshift/platform/directory.py
@@ -24,6 +24,7 @@
     get_store_client,
 )
 from ..worker import Worker
+from .accounts import note_accounts_without_keys
 from .configuration import (
     CONFIG_KEY,
     MAINTENANCE_PREFIX,
@@ -79,6 +80,11 @@
         """The active configuration, None before the first is read."""
         return self._catalog
 
+    @property
+    def catalog_age(self) -> int:
+        """How long ago the configuration was last known to be current, ms."""
+        return self.operator_rows.age
+
     @property
     def workers(self) -> Mapping[str, Worker]:
         """The registered workers by id, kept current while watched."""
@@ -193,15 +199,23 @@
         if isinstance(body, Unreadable):
             self._record_unreadable(row, body)
         elif self._catalog is None or body['version'] > self._catalog.version:
-            self._catalog = decode_catalog(body)
-            unconfirmed = self.operator_rows.age
-            load = self.kernel.metrics.load
-            load.activation_lag_ms.record(unconfirmed)
-            self.log.note(
-                'Configuration activated.',
-                version=body['version'],
-                unconfirmed_ms=unconfirmed,
-            )
+            catalog = decode_catalog(body)
+            if isinstance(catalog, Unreadable):
+                self._record_unreadable(row, catalog)
+            else:
+                self._activate(catalog)
+
+    def _activate(self, catalog: Catalog) -> None:
+        self._catalog = catalog
+        unconfirmed = self.operator_rows.age
+        load = self.kernel.metrics.load
+        load.activation_lag_ms.record(unconfirmed)
+        self.log.note(
+            'Configuration activated.',
+            version=catalog.version,
+            unconfirmed_ms=unconfirmed,
+        )
+        note_accounts_without_keys(catalog.accounts.values())
 
     def _apply_maintenance(self, row: Row) -> None:
         body = convert(row.fields, MaintenanceBody)
--- a/cyclamenshift/platform/frontend.py
+++ b/cyclamenshift/platform/frontend.py
@@ -14,12 +14,12 @@
 from quart import Response
 
 from ..component import Host
-from ..controls.job_access import JobAccess, NoSuchJob, Stored
+from ..controls.job_access import JobAccess
+from ..decisions.accounts.keys import account_of
 from ..decisions.admission import find_problem
 from ..directory import Directory, Queue
 from ..frontend import Frontend, read_body
 from ..plugin import register
-from ..store import Unavailable
 from .jobs import JobBody, decode_job, describe_problem
 from .responses import (
     bad_request,
@@ -27,6 +27,7 @@
     respond,
     respond_to_cancel,
     service_unavailable,
+    unauthorized,
 )
 from .wire import Unreadable, decode_json
 
@@ -40,6 +41,8 @@
 DEADLINE_HEADER: Final = 'X-Deadline-Ms'
 #: The same time for a request without the header, ms.
 DEFAULT_TIMEOUT_MS: Final = 3_000
+#: The header with the access key of the caller.
+KEY_HEADER: Final = 'X-Key'
 #: The most digits of that time; a text of thousands can't be converted.
 MAX_DIGITS: Final = 15
 #: The part of that time reserved for sending the response, ms.
@@ -54,6 +57,17 @@
 CONFIRM_WAIT_MS: Final = 150
 
 
+class Caller(NamedTuple):
+    """
+    Who sends a request; ``known`` is whether it may be served.
+
+    ``account`` is None where the queue has open access.
+    """
+
+    known: bool
+    account: str | None
+
+
 class JobTarget(NamedTuple):
     """The queue and the job of a request; no job id for the queue itself."""
 
@@ -100,8 +114,10 @@
             target = self._find_target(request.host, request.path)
         if target is not None:
             started = self.clock.now()
-            response = await self._handle_job_request(target)
-            self._record_request(target, response, self.clock.now() - started)
+            caller = self._identify_caller(target)
+            response = await self._handle_job_request(target, caller)
+            elapsed = self.clock.now() - started
+            self._record_request(target, caller, response, elapsed)
             return response
         if self.directory.catalog is None:
             return service_unavailable('there is no configuration yet')
@@ -130,18 +146,38 @@
         )
         return service_unavailable('the configuration is not confirmed')
 
-    async def _handle_job_request(self, target: JobTarget) -> Response:
+    def _identify_caller(self, target: JobTarget) -> Caller:
+        """Return whose key the request carries, as its queue requires."""
+        if target.queue.open_access:
+            return Caller(known=True, account=None)
+        catalog = self.directory.catalog
+        keys = set(quart.request.headers.getlist(KEY_HEADER))
+        account = None
+        if catalog is not None and len(keys) == 1:
+            account = account_of(catalog.accounts.values(), keys.pop())
+        return Caller(known=account is not None, account=account)
+
+    async def _handle_job_request(
+        self, target: JobTarget, caller: Caller
+    ) -> Response:
+        if not caller.known:
+            return unauthorized()
         if quart.request.method == 'POST':
-            return await self._submit(target)
-        if quart.request.method == 'DELETE':
-            return respond_to_cancel(await self._cancel(target))
+            return await self._submit(target, caller.account or '')
         queue, job_id = target
         wait = _read_timeout()
+        access = self.job_access
+        if quart.request.method == 'DELETE':
+            return respond_to_cancel(
+                await access.cancel(queue, job_id, wait, caller.account)
+            )
         if job_id:
-            return respond(await self.job_access.state_of(queue, job_id, wait))
-        return respond(await self.job_access.count_waiting(queue, wait))
+            return respond(
+                await access.state_of(queue, job_id, wait, caller.account)
+            )
+        return respond(await access.count_waiting(queue, wait))
 
-    async def _submit(self, target: JobTarget) -> Response:
+    async def _submit(self, target: JobTarget, account: str) -> Response:
         if not JOB_ID.fullmatch(target.job_id):
             return bad_request('the id is not 16 hexadecimal digits')
         body = decode_json(await read_body(), JobBody)
@@ -152,7 +188,7 @@
             target.queue.name,
             body,
             self.clock.wall_time(),
-        )
+        )._replace(account=account)
         problem = find_problem(job)
         if problem:
             return bad_request(describe_problem(problem))
@@ -160,16 +196,12 @@
             await self.job_access.submit(target.queue, job, _read_timeout())
         )
 
-    async def _cancel(
+    def _record_request(
         self,
         target: JobTarget,
-    ) -> Stored | NoSuchJob | Unavailable:
-        return await self.job_access.cancel(
-            target.queue, target.job_id, _read_timeout()
-        )
-
-    def _record_request(
-        self, target: JobTarget, response: Response, elapsed: int
+        caller: Caller,
+        response: Response,
+        elapsed: int,
     ) -> None:
         catalog = self.directory.catalog
         metrics = self.kernel.metrics
@@ -190,6 +222,7 @@
             status=response.status_code,
             took_ms=elapsed,
             version=catalog.version if catalog else None,
+            **({'account': caller.account} if caller.account else {}),
         )
 
     def _find_target(self, host: str, path: str) -> JobTarget | None:
@@ -221,10 +254,12 @@
     Return whether the request is about a job that may be stored.
 
     Such a job was accepted under a configuration that had its queue, so its
-    caller learns its state, and can cancel it, also from an older one.
+    caller learns its state, and can cancel it, also from an older one.  Where
+    an access key is needed, a newer one may have withdrawn it.
     """
-    is_job = target is not None and bool(target.job_id)
-    return is_job and quart.request.method != 'POST'
+    if target is None or not target.job_id or not target.queue.open_access:
+        return False
+    return quart.request.method != 'POST'
 
 
 def _read_timeout() -> int:
--- a/cyclamenshift/platform/responses.py
+++ b/cyclamenshift/platform/responses.py
@@ -100,6 +100,14 @@
     return respond(result)
 
 
+def unauthorized() -> Response:
+    """Return the response to a request without a valid access key."""
+    return _json_response(
+        {'error': 'the access key is missing or not valid'},
+        HTTPStatus.UNAUTHORIZED,
+    )
+
+
 def bad_request(reason: str) -> Response:
     """Return the response to an invalid request."""
     return _json_response({'error': reason}, HTTPStatus.BAD_REQUEST)
--- a/tests/test_job_queries.py
+++ b/tests/test_job_queries.py
@@ -75,7 +75,7 @@
 ) -> StateAnswer:
     await duty.clock.sleep(delay)
     scheduler = duty.schedulers[query.service]
-    return StateAnswer(True, *scheduler.job_state(query.job_id))
+    return scheduler.job_state(query.job_id)
 
 
 def slow_down_owner(job_cluster: JobCluster, delay: int) -> None:
