Keep accounts within their limits and shares

Nothing bounded what an account ran across services, and an account that submitted many times its usual delayed all others.

One owner keeps a ledger of what each service may have in use for each account; schedulers report what they use and want, and start nothing beyond what was allotted.

Jobs beyond the rate of their account go after all others, and accounts with more than their part of the pool after those with less. With the setting overload.cost_ordering, jobs that need little work go first in a long backlog, and once a second the job that is too late by the most goes first.

--- /dev/null
+++ b/cyclamenshift/accountmessages.py
@@ -0,0 +1,66 @@
+"""
+cyclamenshift.accountmessages
+=============================
+
+The peer messages between the schedulers and the ledger of account limits.
+"""
+
+from typing import NamedTuple
+
+from .job import Resources
+from .peer import register_payload
+
+
+class AccountUsage(NamedTuple):
+    """
+    What a scheduler has in use for an account, and asks for.
+
+    ``used`` are the resources of all runs that it tracks.  Until it has the
+    answer, it starts nothing that would bring them above ``kept``.  ``extra``
+    is what it could use beyond that.  ``arrivals`` counts the jobs of the
+    account that it got in the last second.
+    """
+
+    account: str
+    used: Resources
+    kept: Resources
+    extra: Resources
+    arrivals: int
+
+
+@register_payload
+class UsageReport(NamedTuple):
+    """
+    Reports the usage of a service under ``epoch``, and asks for allotments.
+
+    Accounts that are not listed have nothing in use.  ``number`` grows with
+    each report of a term.
+    """
+
+    service: str
+    epoch: int
+    number: int
+    usages: tuple[AccountUsage, ...]
+
+
+class AllottedAmount(NamedTuple):
+    """
+    How much a service may have in use for an account.
+
+    It was computed under ``limit``, where 0 of a resource stands for no limit.
+    ``elsewhere`` counts the jobs that the other services got in a second.
+    """
+
+    account: str
+    amount: Resources
+    limit: Resources
+    elsewhere: int
+
+
+@register_payload
+class Allotment(NamedTuple):
+    """Answers the report ``number``; ``epoch`` is that of the ledger."""
+
+    epoch: int
+    number: int
+    amounts: tuple[AllottedAmount, ...]
--- a/cyclamenshift/controls/ownership.py
+++ b/cyclamenshift/controls/ownership.py
@@ -103,6 +103,11 @@
         ]
         return max(owners)[1] if owners else None
 
+    def epoch_of(self, domain: str) -> int:
+        """Return the epoch of the known owner of *domain*, 0 if none."""
+        owner = self.owner_of(domain)
+        return self._domains_of(owner).get(domain, 0) if owner else 0
+
     async def call_owner(
         self,
         domain: str,
--- /dev/null
+++ b/cyclamenshift/decisions/accounts/allotments.py
@@ -0,0 +1,198 @@
+"""
+cyclamenshift.decisions.accounts.allotments
+===========================================
+
+Keeps a scheduler within what it may have in use for each account.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Final
+
+from ...accountmessages import (
+    AccountUsage,
+    Allotment,
+    AllottedAmount,
+    UsageReport,
+)
+from ...job import NO_RESOURCES, Resources
+from ..progress import Task
+from .usage import effective_limit, larger_of, smaller_of
+
+#: The part of what an account has in use that is asked for in advance, so
+#: that its next tasks need not wait for an answer.
+ADVANCE_DIVISOR: Final = 4
+#: How many of an account's recent jobs count as the demand of one second, ms.
+ARRIVAL_WINDOW_MS: Final = 1_000
+
+
+class StartBudget:
+    """
+    What may start in one scheduling pass, by account.
+
+    ``remaining`` has the resources that are left for the accounts with a
+    limit.  ``exhausted`` are those of which a task could not start.
+    """
+
+    def __init__(self, remaining: dict[str, Resources]) -> None:
+        """Start with *remaining* resources for each account with a limit."""
+        self.remaining = remaining
+        self.exhausted: set[str] = set()
+
+    def select(self, tasks: Iterable[Task]) -> Iterator[Task]:
+        """Yield those of *tasks* that may start once they are asked for."""
+        for task in tasks:
+            if self.allows(task):
+                yield task
+
+    def allows(self, task: Task) -> bool:
+        """Return whether *task*, or the whole gang of it, may start."""
+        account = task.job.job.account
+        if account not in self.remaining:
+            return True
+        count = task.step.tasks if task.step.gang else 1
+        needed = task.step.resources.times(count)
+        if self.remaining[account].can_fit(needed):
+            return True
+        self.exhausted.add(account)
+        return False
+
+    def spend(self, placed: Iterable[Task]) -> None:
+        """Count the runs of *placed* tasks, which are about to start."""
+        for task in placed:
+            account = task.job.job.account
+            left = self.remaining.get(account)
+            if left is not None:
+                self.remaining[account] = left.minus(task.step.resources)
+
+
+#: The budget where no account has a limit.
+NO_LIMITS: Final = StartBudget({})
+
+
+class Allotments:
+    """
+    The amounts that the ledger has allotted to one scheduler.
+
+    ``number`` is that of the last report, ``epoch`` the highest of a ledger
+    that has answered.  An amount that was computed under a higher limit than
+    the current one is void.
+    """
+
+    def __init__(self) -> None:
+        """Start without any allotment."""
+        self.number = 0
+        self.epoch = 0
+        self.amounts: dict[str, AllottedAmount] = {}
+
+    def expect(self, epoch: int) -> None:
+        """Drop later answers of ledgers before that of *epoch*."""
+        self.epoch = max(self.epoch, epoch)
+
+    def budget(
+        self, limits: Mapping[str, Resources], used: Mapping[str, Resources]
+    ) -> StartBudget:
+        """Return what may start under the current *limits*."""
+        return StartBudget(
+            {
+                account: self.allowed(account, limit).minus(
+                    used.get(account, NO_RESOURCES)
+                )
+                for account, limit in limits.items()
+            }
+        )
+
+    def allowed(self, account: str, limit: Resources) -> Resources:
+        """Return how much may be in use for *account* under *limit*."""
+        allotted = self.amounts.get(account)
+        if allotted is None:
+            return NO_RESOURCES
+        if not limit.can_fit(effective_limit(allotted.limit)):
+            return NO_RESOURCES
+        return allotted.amount
+
+    def elsewhere(self, account: str) -> int:
+        """Return how many jobs a second other services got."""
+        allotted = self.amounts.get(account)
+        return allotted.elsewhere if allotted else 0
+
+    def report(
+        self,
+        service: str,
+        epoch: int,
+        limits: Mapping[str, Resources],
+        usages: Mapping[str, 'AccountDemand'],
+    ) -> UsageReport:
+        """
+        Return the next report, and keep to what it says until the answer.
+
+        It gives back what is not needed.
+        """
+        self.number += 1
+        rows = []
+        for account, demand in usages.items():
+            if account not in limits:
+                continue
+            allowed = self.allowed(account, limits[account])
+            useful = demand.useful()
+            kept = smaller_of(allowed, useful)
+            extra = larger_of(
+                useful.minus(larger_of(kept, demand.used)), NO_RESOURCES
+            )
+            rows.append(
+                AccountUsage(account, demand.used, kept, extra, demand.arrivals)
+            )
+        self.amounts = {
+            row.account: AllottedAmount(
+                row.account,
+                row.kept,
+                self._limit_of(row.account),
+                self.elsewhere(row.account),
+            )
+            for row in rows
+        }
+        return UsageReport(service, epoch, self.number, tuple(rows))
+
+    def apply(self, allotment: Allotment) -> bool:
+        """
+        Take over the answer to the last report; return whether it was used.
+
+        Answers to earlier reports, and those of a ledger that was superseded,
+        count for nothing.
+        """
+        if allotment.number != self.number or allotment.epoch < self.epoch:
+            return False
+        self.epoch = allotment.epoch
+        self.amounts.update(
+            (amount.account, amount) for amount in allotment.amounts
+        )
+        return True
+
+    def _limit_of(self, account: str) -> Resources:
+        allotted = self.amounts.get(account)
+        return allotted.limit if allotted else NO_RESOURCES
+
+
+class AccountDemand:
+    """What the tasks of an account use and ask for at one service."""
+
+    def __init__(
+        self, used: Resources, waiting: Resources, arrivals: int
+    ) -> None:
+        """Describe the runs and the *waiting* tasks of an account."""
+        self.used = used
+        self.waiting = waiting
+        self.arrivals = arrivals
+
+    def useful(self) -> Resources:
+        """Return how much could be in use soon."""
+        advance = Resources(*(each // ADVANCE_DIVISOR for each in self.used))
+        return self.used.plus(self.waiting).plus(advance)
+
+
+def has_grown(report: UsageReport, allotment: Allotment) -> bool:
+    """Return whether *allotment* allows more than *report* has kept."""
+    kept = {usage.account: usage.kept for usage in report.usages}
+    return any(
+        not kept[each.account].can_fit(each.amount)
+        for each in allotment.amounts
+    )
--- a/cyclamenshift/decisions/placement.py
+++ b/cyclamenshift/decisions/placement.py
@@ -10,6 +10,7 @@
 
 from ..job import NO_RESOURCES, Resources, Step
 from ..worker import Worker
+from .accounts.allotments import NO_LIMITS, StartBudget
 from .demands import Demand, demand_of
 from .progress import Task, WorkerInstance
 from .tracker import reserved_resources
@@ -72,11 +73,13 @@
     candidates: Mapping[WorkerInstance, Candidate],
     limit: int,
     earlier: Collection[Placement] = (),
+    budget: StartBudget = NO_LIMITS,
 ) -> list[Placement]:
     """
     Return the placements of *tasks*, which are sorted by urgency.
 
-    *earlier* are those of other tasks that have not started yet.
+    *earlier* are those of other tasks that have not started yet.  *budget*
+    tells what may start for the accounts with a limit.
 
     Placement is best fit: a task gets the worker with the least free cpu
     that can hold it, in its preferred rack if possible.  A task that fits
@@ -85,7 +88,7 @@
     """
     placements: list[Placement] = []
     skipped: set[Demand] = set()
-    for task in tasks:
+    for task in budget.select(tasks):
         if len(placements) >= limit:
             break
         if demand_of(task) in skipped:
@@ -93,6 +96,7 @@
         known = (*earlier, *placements)
         added = _place_task(task, candidates.values(), known)
         placements.extend(added)
+        budget.spend(placement.task for placement in added)
         skipped.update(_settled_demands(task, added))
     return placements
 
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -257,6 +257,8 @@
     ``generation`` grows with each change that must be recorded; ``recorded``
     is the last generation that was recorded.
     ``end_logged`` is set once the job's final state was logged.
+    ``beyond_share`` is set if the job came while its account submitted more
+    than its share.
     """
 
     def __init__(self, job: Job, queue: Queue) -> None:
@@ -274,6 +276,7 @@
         self.recorded = 0
         self.final_generation = 0
         self.end_logged = False
+        self.beyond_share = False
 
     @property
     def suspended(self) -> bool:
--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -19,6 +19,7 @@
     TaskId,
 )
 from ..jobrows import ProgressRow
+from .accounts.usage import AccountUsages
 from .crashes import MAX_CAUSE_AGE_MS, Crashes, RunAge
 from .progress import (
     UNCONFIRMED,
@@ -58,7 +59,8 @@
     jobs with occurrences that are not due yet; ``dirty`` the jobs with
     unrecorded changes; ``to_stop`` the attempts to stop; ``to_settle`` those
     that may be at another instance of their worker.  ``used`` is the sum
-    of the resources reserved at each worker.
+    of the resources reserved at each worker, ``account_usages`` that of each
+    account.
     """
 
     def __init__(self) -> None:
@@ -71,6 +73,7 @@
         self.to_settle: dict[RunId, Attempt] = {}
         self.attempts_by_worker: dict[WorkerInstance, dict[RunId, Attempt]] = {}
         self.used: dict[WorkerInstance, Resources] = {}
+        self.account_usages = AccountUsages()
 
     def add(self, job: Job, queue: Queue, wall_time: int) -> JobProgress | None:
         """Add a new job; return None if it is already tracked."""
@@ -293,9 +296,11 @@
         self.attempts_by_worker.setdefault(instance, {})[attempt.run] = attempt
         used = self.used.get(instance, NO_RESOURCES)
         self.used[instance] = used.plus(reserved_resources(attempt.task.step))
+        self.account_usages.add(attempt.task)
 
     def _untrack(self, attempt: Attempt) -> None:
         """Release the resources of an attempt at its worker."""
+        self.account_usages.remove(attempt.task)
         attempts = self.attempts_by_worker[attempt.instance]
         attempts.pop(attempt.run)
         self.used[attempt.instance] = self.used[attempt.instance].minus(
--- a/cyclamenshift/decisions/urgency.py
+++ b/cyclamenshift/decisions/urgency.py
@@ -6,11 +6,13 @@
 """
 
 import enum
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Final, NamedTuple
 
-from ..job import TaskId
+from ..directory import NO_ACCOUNTS, Account
+from ..job import StepId, TaskId
 from .demands import group_by_step
+from .overload.costs import delays_caused
 from .progress import JobProgress, Task
 
 #: A job that ends within this many times its objective is late, after that
@@ -30,40 +32,99 @@
     """
     The sort key of a waiting task; the lowest goes first.
 
-    ``slack`` is the estimated time that the job can wait and still meet its
-    objective, ms.
+    Jobs ``beyond_share`` of their account go after all others.  ``over_share``
+    tells whether the account has more than its part of the pool.  ``slack`` is
+    the estimated time that the job can wait and still meet its objective, plus
+    the delay that its work causes, ms.
     """
 
+    beyond_share: bool
     priority: int
+    account_priority: int
     timeliness: Timeliness
+    over_share: bool
     slack: int
 
 
-def urgency_of(task: Task, wall_time: int) -> Urgency:
+class Ranking(NamedTuple):
+    """
+    What the order of one scheduling pass depends on besides the jobs.
+
+    ``over_share`` are the accounts that have more than their part of the
+    pool, and ``capacity`` is its cpu, millicores, 0 to order jobs regardless
+    of their work.  If ``promotes`` is set, the job that is too late by the
+    most goes first, so that none waits for ever.
+    """
+
+    accounts: Mapping[str, Account] = NO_ACCOUNTS
+    over_share: frozenset[str] = frozenset()
+    capacity: int = 0
+    promotes: bool = False
+
+
+NO_RANKING: Final = Ranking()
+
+
+def urgency_of(
+    task: Task, wall_time: int, ranking: Ranking = NO_RANKING
+) -> Urgency:
     """Return the urgency of *task* at *wall_time*, ms since the epoch."""
     progress = task.job
-    priority = progress.queue.priority
+    name = progress.job.account
+    account = ranking.accounts.get(name)
+    urgency = Urgency(
+        beyond_share=progress.beyond_share,
+        priority=progress.queue.priority,
+        account_priority=account.priority if account else 0,
+        timeliness=Timeliness.in_time,
+        over_share=name in ranking.over_share,
+        slack=0,
+    )
     if task.step.long_running:
-        return Urgency(priority, Timeliness.in_time, 0)
+        return urgency
     schedule = progress.schedule
     released = _release_time(progress, task.task_id.occurrence)
     remaining = schedule.tails[task.task_id.step]
     slack = released + schedule.objective - wall_time - remaining
     slack_to_late = slack + (LATE_FACTOR - 1) * schedule.objective
-    return Urgency(priority, _timeliness(slack, slack_to_late), slack)
+    return urgency._replace(
+        timeliness=_timeliness(slack, slack_to_late), slack=slack
+    )
 
 
 def most_urgent_first(
     tasks: Iterable[Task],
     wall_time: int,
+    ranking: Ranking = NO_RANKING,
 ) -> Iterator[Task]:
     """Yield *tasks* sorted by urgency, which the tasks of a step share."""
-    keyed = [
-        (urgency_of(group[0], wall_time), step_id, group)
-        for step_id, group in group_by_step(tasks).items()
+    groups = group_by_step(tasks)
+    delays = delays_caused(groups, ranking.capacity)
+    keyed = []
+    for step_id, group in groups.items():
+        urgency = urgency_of(group[0], wall_time, ranking)
+        slack = urgency.slack + delays.get(step_id, 0)
+        keyed.append((urgency._replace(slack=slack), step_id))
+    keyed.sort()
+    if ranking.promotes:
+        _promote_latest(keyed)
+    for _urgency, step_id in keyed:
+        yield from sorted(groups[step_id], key=_task_id)
+
+
+def _promote_latest(keyed: list[tuple[Urgency, StepId]]) -> None:
+    """Put the step of the job first that is too late by the most."""
+    hopeless = [
+        each for each in keyed if each[0].timeliness is Timeliness.too_late
     ]
-    for _urgency, _step_id, group in sorted(keyed):
-        yield from sorted(group, key=_task_id)
+    if hopeless:
+        latest = min(hopeless, key=_slack)
+        keyed.remove(latest)
+        keyed.insert(0, latest)
+
+
+def _slack(each: tuple[Urgency, StepId]) -> int:
+    return each[0].slack
 
 
 def _task_id(task: Task) -> TaskId:
--- a/cyclamenshift/duties/scheduler.py
+++ b/cyclamenshift/duties/scheduler.py
@@ -23,7 +23,7 @@
     StateAnswer,
     StateQuery,
 )
-from ..jobrows import JobRow, job_key
+from ..jobrows import job_key, job_row
 from ..peer import Peer
 from ..plugin import register
 from ..queuehistory import QueueHistory
@@ -143,7 +143,7 @@
         result = await self.row_writer.write(
             job_key(offer.service, offer.job.job_id),
             ABSENT,
-            JobRow(job=offer.job),
+            job_row(offer.job),
         )
         scheduler = self._loaded_scheduler(offer.service)
         if scheduler and isinstance(result, Written):
@@ -158,7 +158,7 @@
         scheduler = self._loaded_scheduler(query.service)
         if scheduler is None:
             return STATE_NOT_OWNED
-        return StateAnswer(True, *scheduler.job_state(query.job_id))
+        return scheduler.job_state(query.job_id)
 
     async def _on_count_query(
         self,
--- /dev/null
+++ b/cyclamenshift/scheduling/account_limits.py
@@ -0,0 +1,167 @@
+"""
+cyclamenshift.scheduling.account_limits
+=======================================
+
+Keeps the scheduler of one service within the limits of client accounts.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Final
+
+import trio
+
+from ..accountmessages import Allotment, UsageReport
+from ..component import Host
+from ..controls.ownership import Ownership
+from ..decisions.accounts.allotments import (
+    AccountDemand,
+    Allotments,
+    StartBudget,
+    has_grown,
+)
+from ..decisions.accounts.shares import AccountShares, accounts_over_share
+from ..decisions.accounts.usage import limited, resources_by_account
+from ..decisions.tracker import JobTracker
+from ..directory import NO_ACCOUNTS, Account, Directory
+from ..duty import OwnershipTerm
+from ..job import NO_RESOURCES, Resources
+
+#: The domain of the ledger of account limits; no service has this name.
+ACCOUNTS_DOMAIN: Final = '~accounts'
+#: How long the ledger may take to answer, ms.
+CALL_TIMEOUT_MS: Final = 1_000
+#: The pause after a report while tasks wait for an allotment, ms: first after
+#: an answer that allotted more, then after one that did not.
+GROWING_PAUSE_MS: Final = 10
+EXHAUSTED_PAUSE_MS: Final = 60
+#: The time between two reports while no task waits for an allotment, ms.  What
+#: is not needed is given back with them, and a new ledger gets the usage.
+IDLE_PAUSE_MS: Final = 300
+#: Nothing may start, not even a task that asks for no resources.
+NOTHING: Final = Resources(-1, -1, -1)
+
+
+class AccountLimits:
+    """Reports the usage of accounts, and tells what may start for them."""
+
+    def __init__(
+        self,
+        kernel: Host,
+        tracker: JobTracker,
+        term: OwnershipTerm,
+        wake: Callable[[], None],
+    ) -> None:
+        """Start without any allotment; *wake* is called when it grows."""
+        self.kernel = kernel
+        self.clock = kernel.clock
+        self.directory = kernel.get(Directory)
+        self.max_age = kernel.settings['jobs']['configuration_age']
+        self.tracker = tracker
+        self.term = term
+        self.wake = wake
+        self.allotments = Allotments()
+        self.shares = AccountShares()
+        self.limited_accounts: Mapping[str, Account] = NO_ACCOUNTS
+        self.known_limits: Mapping[str, Resources] = {}
+        self.exhausted: set[str] = set()
+        self.wanted = trio.Event()
+
+    @property
+    def accounts(self) -> Mapping[str, Account]:
+        """The accounts of the active configuration."""
+        catalog = self.directory.catalog
+        return catalog.accounts if catalog else NO_ACCOUNTS
+
+    def record_arrival(self, name: str) -> bool:
+        """Count a new job of an account; return whether it is in its share."""
+        account = self.accounts.get(name)
+        if account is None:
+            return True
+        elsewhere = self.allotments.elsewhere(name)
+        return self.shares.add(account, elsewhere, self.clock.now())
+
+    def over_share(self, capacity: Resources) -> frozenset[str]:
+        """Return the accounts that have more than their part of the pool."""
+        if not self.accounts:
+            return frozenset()
+        waiting = {
+            task.job.job.account for task in self.tracker.waiting.values()
+        }
+        return accounts_over_share(
+            self.tracker.account_usages.used, waiting, self.accounts, capacity
+        )
+
+    @property
+    def limits(self) -> Mapping[str, Resources]:
+        """The limits of the accounts that have one, by name."""
+        accounts = self.accounts
+        if accounts is not self.limited_accounts:
+            self.limited_accounts = accounts
+            self.known_limits = limited(accounts)
+        return self.known_limits
+
+    def budget(self) -> StartBudget:
+        """
+        Return what may start now.
+
+        By a configuration that is not confirmed nothing starts for accounts
+        with a limit, since a newer one may have reduced it.
+        """
+        limits = self.limits
+        if self.directory.catalog_age > self.max_age:
+            return StartBudget(dict.fromkeys(limits, NOTHING))
+        return self.allotments.budget(limits, self.tracker.account_usages.used)
+
+    def request(self, budget: StartBudget) -> None:
+        """Ask for more for the accounts whose tasks could not start."""
+        self.exhausted = budget.exhausted
+        if budget.exhausted:
+            self.wanted.set()
+
+    async def run(self) -> None:
+        """Report the usage again and again, while accounts have limits."""
+        while True:
+            limits = self.limits
+            pause = IDLE_PAUSE_MS
+            if limits:
+                pause = await self._report(limits)
+            self.wanted = trio.Event()
+            if self.exhausted:
+                await self.clock.sleep(pause)
+                continue
+            with self.clock.move_on_after(IDLE_PAUSE_MS):
+                await self.wanted.wait()
+
+    async def _report(self, limits: Mapping[str, Resources]) -> int:
+        """Report once and return how long to pause, ms."""
+        ownership = self.kernel.get(Ownership)
+        self.allotments.expect(ownership.epoch_of(ACCOUNTS_DOMAIN))
+        report = self._next_report(limits)
+        answer = await ownership.call_owner(
+            ACCOUNTS_DOMAIN, report, CALL_TIMEOUT_MS
+        )
+        if not isinstance(answer, Allotment):
+            return EXHAUSTED_PAUSE_MS
+        if not self.allotments.apply(answer):
+            return EXHAUSTED_PAUSE_MS
+        if not has_grown(report, answer):
+            return EXHAUSTED_PAUSE_MS
+        self.wake()
+        return GROWING_PAUSE_MS
+
+    def _next_report(self, limits: Mapping[str, Resources]) -> UsageReport:
+        used = self.tracker.account_usages.used
+        arrivals = self.shares.arrivals(self.clock.now())
+        waiting = resources_by_account(self.tracker.waiting.values())
+        active = set().union(used, waiting, arrivals)
+        demands = {
+            account: AccountDemand(
+                used.get(account, NO_RESOURCES),
+                waiting.get(account, NO_RESOURCES),
+                arrivals.get(account, 0),
+            )
+            for account in active
+        }
+        return self.allotments.report(
+            self.term.domain, self.term.epoch, limits, demands
+        )
--- a/cyclamenshift/scheduling/job_reader.py
+++ b/cyclamenshift/scheduling/job_reader.py
@@ -27,6 +27,7 @@
 from ..queuerows import is_reference
 from ..rows import RowType, decode_row
 from ..store import ABSENT, HistoryLost, Key, Row, Snapshot, Unavailable
+from .account_limits import AccountLimits
 from .ownership_check import RETRY_DELAY_MS
 from .state import ServiceState
 
@@ -50,9 +51,15 @@
 class JobReader:
     """Loads and follows the jobs and cancellations of one service."""
 
-    def __init__(self, state: ServiceState, directory: Directory) -> None:
+    def __init__(
+        self,
+        state: ServiceState,
+        directory: Directory,
+        account_limits: AccountLimits,
+    ) -> None:
         """Create a reader that has read nothing yet."""
         self.state = state
+        self.account_limits = account_limits
         self.clock = state.clock
         self.tracker = state.tracker
         self.directory = directory
@@ -89,6 +96,9 @@
         """Add a job that has been stored."""
         if self._register(StoredJob(job, None)):
             self.state.arrivals.add(job, self.clock.now())
+            progress = self.tracker.jobs[job.job_id]
+            within = self.account_limits.record_arrival(job.account)
+            progress.beyond_share = not within
             self.state.wake()
 
     def cancel(self, job_id: str) -> None:
--- a/cyclamenshift/scheduling/placer.py
+++ b/cyclamenshift/scheduling/placer.py
@@ -10,31 +10,45 @@
 
 import trio
 
+from ..decisions.accounts.allotments import NO_LIMITS
 from ..decisions.copies import SlowRun, slow_runs
 from ..decisions.isolation import IsolationWaits
+from ..decisions.lending import total_resources
 from ..decisions.placement import Candidate, Placement, may_fit, place
 from ..decisions.progress import Task, WorkerInstance
-from ..decisions.urgency import most_urgent_first
+from ..decisions.urgency import Ranking, most_urgent_first
 from ..job import NO_RESOURCES
+from .account_limits import AccountLimits
 from .orders import RunStarter
 from .state import ServiceState
 from .suspects import Suspects
 
 #: How many of the jobs that wait for capacity are logged.
 LOGGED_JOBS: Final = 5
+#: How often the job that is too late by the most goes first, ms.  So the wait
+#: of each is bounded, and jobs that can be in time get nearly all capacity.
+PROMOTION_INTERVAL_MS: Final = 1_000
 
 
 class Placer:
     """Starts waiting tasks, as many as the order window allows."""
 
-    def __init__(self, state: ServiceState, nursery: trio.Nursery) -> None:
-        """Start runs in tasks of *nursery*."""
+    def __init__(
+        self,
+        state: ServiceState,
+        nursery: trio.Nursery,
+        account_limits: AccountLimits,
+    ) -> None:
+        """Start runs in tasks of *nursery*, within *account_limits*."""
         self.state = state
         self.nursery = nursery
         self.tracker = state.tracker
         self.clock = state.clock
         self.isolation_waits = IsolationWaits()
         self.jobs_without_capacity: set[str] = set()
+        self.account_limits = account_limits
+        self.next_promotion = 0
+        self.budget = NO_LIMITS
 
     def place(self) -> None:
         """Start the most urgent tasks that fit, then copies of slow runs."""
@@ -48,7 +62,8 @@
             self.state.order_window.wake_when_ready(self.state.wake)
             return
         candidates = self._candidates(now)
-        suspects = Suspects(self.state, self.isolation_waits, now)
+        self.budget = self.account_limits.budget()
+        suspects = Suspects(self.state, self.isolation_waits, now, self.budget)
         self._start(suspects.place(candidates))
         self._place_most_urgent(suspects.others, candidates)
         if self.state.order_window.free(self.state.service):
@@ -58,6 +73,7 @@
         copied = [run.attempt.task for run in slow]
         copies = self._place_most_urgent(copied, candidates)
         self._log_copies(slow, copies)
+        self.account_limits.request(self.budget)
 
     def _place_most_urgent(
         self,
@@ -68,12 +84,35 @@
         urgent = most_urgent_first(
             may_fit(tasks, candidates.values()),
             self.clock.wall_time(),
+            self._ranking(),
         )
         free = self.state.order_window.free(self.state.service)
-        placements = place(urgent, candidates, free)
+        placements = place(urgent, candidates, free, budget=self.budget)
         self._start(placements)
         return placements
 
+    def _ranking(self) -> Ranking:
+        """Return what the order of the waiting tasks depends on now."""
+        capacity = total_resources(
+            [
+                session.worker.resources
+                for session in self.state.sessions.values()
+                if not session.closed
+            ]
+        )
+        overload = self.state.kernel.settings['overload']
+        by_cost = overload['cost_ordering']
+        now = self.clock.now()
+        promotes = by_cost and now >= self.next_promotion
+        if promotes:
+            self.next_promotion = now + PROMOTION_INTERVAL_MS
+        return Ranking(
+            accounts=self.account_limits.accounts,
+            over_share=self.account_limits.over_share(capacity),
+            capacity=capacity.cpu if by_cost else 0,
+            promotes=promotes,
+        )
+
     def _start(self, placements: Iterable[Placement]) -> None:
         for placement in placements:
             attempt = self.tracker.plan(
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -16,7 +16,8 @@
 from ..directory import Directory
 from ..duty import OwnershipTerm
 from ..fleetmessages import PoolReport
-from ..job import JobState
+from ..jobmessages import StateAnswer
+from .account_limits import AccountLimits
 from .job_reader import JobReader
 from .lease_renewer import LeaseRenewer
 from .order_window import OrderWindow
@@ -60,7 +61,12 @@
         self.tracker = self.state.tracker
         self.clock = kernel.clock
         self.directory = kernel.get(Directory)
-        self.job_reader = JobReader(self.state, self.directory)
+        self.account_limits = AccountLimits(
+            kernel, self.tracker, term, self.state.wake
+        )
+        self.job_reader = JobReader(
+            self.state, self.directory, self.account_limits
+        )
         self.loaded = False
         self.renewed: dict[WorkerInstance, WorkerSession] = {}
         self.nursery: trio.Nursery | None = None
@@ -78,7 +84,8 @@
                 nursery.start_soon(self.job_reader.poll, table)
             nursery.start_soon(Sweeper(self.state).run)
             nursery.start_soon(report_pool, self.state, self.report_to_manager)
-            placer = Placer(self.state, nursery)
+            nursery.start_soon(self.account_limits.run)
+            placer = Placer(self.state, nursery, self.account_limits)
             while True:
                 changed = self.state.changed
                 started = self.clock.now()
@@ -94,12 +101,17 @@
                 with self.clock.move_on_after(self._time_until_due()):
                     await changed.wait()
 
-    def job_state(self, job_id: str) -> tuple[str, JobState | None]:
-        """Return a job's queue and visible state, None if it is unknown."""
+    def job_state(self, job_id: str) -> StateAnswer:
+        """Return a job's visible state, None if it is unknown."""
         progress = self.tracker.jobs.get(job_id)
         if progress is None:
-            return ('', None)
-        return (progress.job.queue, progress.reported_state)
+            return StateAnswer(owned=True, queue='', state=None)
+        return StateAnswer(
+            owned=True,
+            queue=progress.job.queue,
+            state=progress.reported_state,
+            account=progress.job.account,
+        )
 
     def count_waiting(self, queue: str) -> int:
         """Return how many jobs of *queue* have not started."""
--- a/cyclamenshift/scheduling/suspects.py
+++ b/cyclamenshift/scheduling/suspects.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from ..decisions.accounts.allotments import NO_LIMITS, StartBudget
 from ..decisions.crashes import MAX_CAUSE_AGE_MS, probation_limit
 from ..decisions.demands import Demand, demand_of
 from ..decisions.isolation import (
@@ -61,10 +62,15 @@
     """
 
     def __init__(
-        self, state: ServiceState, waits: IsolationWaits, now: int
+        self,
+        state: ServiceState,
+        waits: IsolationWaits,
+        now: int,
+        budget: StartBudget = NO_LIMITS,
     ) -> None:
         """Sort the tasks that wait at *now*, monotonic ms."""
         self.state = state
+        self.budget = budget
         self.waits = waits
         self.now = now
         self.tasks: list[Task] = []
@@ -102,7 +108,7 @@
         urgent = most_urgent_first(self.tasks, self.state.clock.wall_time())
         window = self.state.order_window.free(self.state.service)
         without_worker: set[SuspectKind] = set()
-        for task in sorted(urgent, key=_count_crashes):
+        for task in self.budget.select(sorted(urgent, key=_count_crashes)):
             if len(self.placements) >= window:
                 break
             kind = self._kind_of(task)
@@ -131,7 +137,9 @@
             self.held = self.held or instance
             return False
         chosen = {instance: candidates[instance]}
-        self.placements.extend(place((task,), chosen, 1, self.placements))
+        self.placements.extend(
+            place((task,), chosen, 1, self.placements, self.budget)
+        )
         self.probation.setdefault(instance, []).append(task)
         self._log_company(task, instance)
         return True
--- a/cyclamenshift/settings.py
+++ b/cyclamenshift/settings.py
@@ -125,6 +125,7 @@
     learned_run_times: bool
     demand_forecast: bool
     worker_health: bool
+    cost_ordering: bool
     admission_control: bool
 
 
@@ -213,6 +214,7 @@
         'learned_run_times': False,
         'demand_forecast': False,
         'worker_health': False,
+        'cost_ordering': False,
         'admission_control': False,
     },
 }
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -18,7 +18,14 @@
 from cyclamenshift.decisions.leases import Lease
 from cyclamenshift.decisions.lending import PoolView
 from cyclamenshift.decisions.merging import Document
-from cyclamenshift.directory import Catalog, Queue, Service
+from cyclamenshift.accountmessages import (
+    AccountUsage,
+    Allotment,
+    AllottedAmount,
+    UsageReport,
+)
+from cyclamenshift.decisions.accounts.keys import digest_of
+from cyclamenshift.directory import Account, Catalog, Queue, Service
 from cyclamenshift.fleetmessages import PoolReport
 from cyclamenshift.http1 import Address
 from cyclamenshift.job import (
@@ -223,6 +230,57 @@
     return Catalog(**(values | overrides))
 
 
+def account(name: str = 'account-1', **overrides: Any) -> Account:
+    """Return an account with one key, named after it, and no limit."""
+    values: dict[str, Any] = {
+        'name': name,
+        'key_digests': (digest_of(f'key-of-{name}'),),
+    }
+    return Account(**(values | overrides))
+
+
+def account_usage(name: str = 'account-1', **overrides: Any) -> AccountUsage:
+    """Return the usage of an account that runs and wants nothing."""
+    values: dict[str, Any] = {
+        'account': name,
+        'used': NO_RESOURCES,
+        'kept': NO_RESOURCES,
+        'extra': NO_RESOURCES,
+        'arrivals': 0,
+    }
+    return AccountUsage(**(values | overrides))
+
+
+def usage_report(*usages: AccountUsage, **overrides: Any) -> UsageReport:
+    """Return the first report of the service ``desk``."""
+    values: dict[str, Any] = {'service': 'desk', 'epoch': 1, 'number': 1}
+    return UsageReport(**(values | overrides), usages=usages)
+
+
+def allotment(**overrides: Any) -> Allotment:
+    """Return the answer of the first ledger to a first report."""
+    values: dict[str, Any] = {
+        'epoch': 1,
+        'number': 1,
+        'amounts': (
+            AllottedAmount('account-1', NO_RESOURCES, NO_RESOURCES, 0),
+        ),
+    }
+    return Allotment(**(values | overrides))
+
+
+def tenant_fields(name: str = 'account-1', **overrides: Any) -> dict[str, Any]:
+    """Return an account as the operator's row has it."""
+    values: dict[str, Any] = {
+        'name': name,
+        'apiKeys': [f'key-of-{name}'],
+        'priority': 1,
+        'weight': 2,
+        'maxCount': {'cpu': 60_000, 'memMb': 108_000, 'gpu': 0},
+    }
+    return values | overrides
+
+
 def configuration_fields(version: int, routes: int = 2) -> dict[str, Any]:
     """Return the fields of the operator's row with *routes* routes."""
     return {
--- a/tests/examples.py
+++ b/tests/examples.py
@@ -22,6 +22,7 @@
     Holdings,
     JobCancelled,
     JobOffer,
+    JobRefused,
     JobStored,
     NotOwned,
     OwnedDomain,
@@ -78,6 +79,10 @@
     JobCancelled('desk', 'job-1'),
     StateQuery('desk', 'job-1'),
     StateAnswer(True, 'checks', JobState.running),
+    StateAnswer(True, 'checks', JobState.running, 'account-1'),
+    JobRefused('no capacity', 2_000),
+    builders.usage_report(builders.account_usage()),
+    builders.allotment(),
     CountQuery('desk', 'checks'),
     CountAnswer(True, 7),
     PoolReport(
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -70,7 +70,8 @@
     """
     The data behind all fakes of the platform, with the orders given.
 
-    The directories know the workers as of ``workers_age`` ms ago.  The VMs in
+    The directories know the workers as of ``workers_age`` ms ago, and the
+    configuration as of ``catalog_age``.  The VMs in
     ``leaving`` are listed as up, but refuse orders as busy.  The
     next ``lost_orders`` orders get no answer and have no effect.  The provider
     of the VMs fails as ``outage`` tells.  ``on_order`` is called with each
@@ -82,6 +83,7 @@
         self.catalog: Catalog | None = catalog()
         self.workers: dict[str, Worker] = {}
         self.workers_age = 0
+        self.catalog_age = 0
         self.maintenances: dict[int, Maintenance] = {}
         self.vms: dict[str, ProvidedVm] = {}
         self.published: dict[int, JobState] = {}
@@ -125,6 +127,11 @@
         """The maintenance requests, by number."""
         return self.platform.maintenances
 
+    @property
+    def catalog_age(self) -> int:
+        """The configuration is always current unless a test sets its age."""
+        return self.platform.catalog_age
+
     async def wait_until_current(self, age: int, wait: int) -> bool:
         """Return at once, as the configuration is always the newest."""
         return True
