--- a/cyclamenshift/accountmessages.py
+++ b/cyclamenshift/accountmessages.py
@@ -47,20 +47,23 @@
     """
     How much a service may have in use for an account.
 
-    It was computed under ``limit``, where 0 of a resource stands for no limit.
     ``elsewhere`` counts the jobs that the other services got in a second.
     """
 
     account: str
     amount: Resources
-    limit: Resources
     elsewhere: int
 
 
 @register_payload
 class Allotment(NamedTuple):
-    """Answers the report ``number``; ``epoch`` is that of the ledger."""
+    """
+    Answers the report ``number``; ``epoch`` is that of the ledger.
+
+    The amounts were computed by ``version`` of the configuration.
+    """
 
     epoch: int
     number: int
+    version: int
     amounts: tuple[AllottedAmount, ...]
--- a/cyclamenshift/decisions/accounts/allotments.py
+++ b/cyclamenshift/decisions/accounts/allotments.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable, Iterator, Mapping
-from typing import Final
+from typing import Final, NamedTuple
 
 from ...accountmessages import (
     AccountUsage,
@@ -16,13 +16,18 @@
 )
 from ...job import NO_RESOURCES, Resources
 from ..progress import Task
-from .usage import effective_limit, larger_of, smaller_of
+from .usage import larger_of, smaller_of
 
 #: The part of what an account has in use that is asked for in advance, so
 #: that its next tasks need not wait for an answer.
 ADVANCE_DIVISOR: Final = 4
-#: How many of an account's recent jobs count as the demand of one second, ms.
-ARRIVAL_WINDOW_MS: Final = 1_000
+
+
+class ReportOwner(NamedTuple):
+    """The service that a scheduler reports for, and the epoch of its term."""
+
+    service: str
+    epoch: int
 
 
 class StartBudget:
@@ -74,14 +79,16 @@
     The amounts that the ledger has allotted to one scheduler.
 
     ``number`` is that of the last report, ``epoch`` the highest of a ledger
-    that has answered.  An amount that was computed under a higher limit than
-    the current one is void.
+    that has answered.  An amount is void once a configuration is active that
+    is newer than the ``version`` by which it was computed: a limit may have
+    been raised, given to other services, and reduced again since.
     """
 
     def __init__(self) -> None:
         """Start without any allotment."""
         self.number = 0
         self.epoch = 0
+        self.version = 0
         self.amounts: dict[str, AllottedAmount] = {}
 
     def expect(self, epoch: int) -> None:
@@ -89,24 +96,25 @@
         self.epoch = max(self.epoch, epoch)
 
     def budget(
-        self, limits: Mapping[str, Resources], used: Mapping[str, Resources]
+        self,
+        limited_accounts: Iterable[str],
+        version: int,
+        used: Mapping[str, Resources],
     ) -> StartBudget:
-        """Return what may start under the current *limits*."""
+        """Return what may start by *version* of the configuration."""
         return StartBudget(
             {
-                account: self.allowed(account, limit).minus(
+                account: self.allowed(account, version).minus(
                     used.get(account, NO_RESOURCES)
                 )
-                for account, limit in limits.items()
+                for account in limited_accounts
             }
         )
 
-    def allowed(self, account: str, limit: Resources) -> Resources:
-        """Return how much may be in use for *account* under *limit*."""
+    def allowed(self, account: str, version: int) -> Resources:
+        """Return how much may be in use for *account*."""
         allotted = self.amounts.get(account)
-        if allotted is None:
-            return NO_RESOURCES
-        if not limit.can_fit(effective_limit(allotted.limit)):
+        if allotted is None or self.version < version:
             return NO_RESOURCES
         return allotted.amount
 
@@ -117,40 +125,27 @@
 
     def report(
         self,
-        service: str,
-        epoch: int,
-        limits: Mapping[str, Resources],
-        usages: Mapping[str, 'AccountDemand'],
+        owner: ReportOwner,
+        version: int,
+        demands: Mapping[str, 'AccountDemand'],
     ) -> UsageReport:
         """
         Return the next report, and keep to what it says until the answer.
 
-        It gives back what is not needed.
+        It gives back what is not needed by *demands* of the accounts.
         """
         self.number += 1
-        rows = []
-        for account, demand in usages.items():
-            if account not in limits:
-                continue
-            allowed = self.allowed(account, limits[account])
-            useful = demand.useful()
-            kept = smaller_of(allowed, useful)
-            extra = larger_of(
-                useful.minus(larger_of(kept, demand.used)), NO_RESOURCES
-            )
-            rows.append(
-                AccountUsage(account, demand.used, kept, extra, demand.arrivals)
-            )
+        rows = tuple(
+            self._usage(account, self.allowed(account, version), demand)
+            for account, demand in demands.items()
+        )
         self.amounts = {
             row.account: AllottedAmount(
-                row.account,
-                row.kept,
-                self._limit_of(row.account),
-                self.elsewhere(row.account),
+                row.account, row.kept, self.elsewhere(row.account)
             )
             for row in rows
         }
-        return UsageReport(service, epoch, self.number, tuple(rows))
+        return UsageReport(owner.service, owner.epoch, self.number, rows)
 
     def apply(self, allotment: Allotment) -> bool:
         """
@@ -162,14 +157,18 @@
         if allotment.number != self.number or allotment.epoch < self.epoch:
             return False
         self.epoch = allotment.epoch
-        self.amounts.update(
-            (amount.account, amount) for amount in allotment.amounts
-        )
+        self.version = allotment.version
+        self.amounts = {each.account: each for each in allotment.amounts}
         return True
 
-    def _limit_of(self, account: str) -> Resources:
-        allotted = self.amounts.get(account)
-        return allotted.limit if allotted else NO_RESOURCES
+    def _usage(
+        self, account: str, allowed: Resources, demand: 'AccountDemand'
+    ) -> AccountUsage:
+        useful = demand.useful()
+        kept = smaller_of(allowed, useful)
+        in_use = larger_of(kept, demand.used)
+        extra = larger_of(useful.minus(in_use), NO_RESOURCES)
+        return AccountUsage(account, demand.used, kept, extra, demand.arrivals)
 
 
 class AccountDemand:
--- a/cyclamenshift/decisions/accounts/limits.py
+++ b/cyclamenshift/decisions/accounts/limits.py
@@ -8,7 +8,7 @@
 a fixed division would leave most of a limit unused.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection
 
 from ...accountmessages import (
     AccountUsage,
@@ -16,7 +16,7 @@
     AllottedAmount,
     UsageReport,
 )
-from ...directory import Account
+from ...directory import Account, Catalog
 from ...job import NO_RESOURCES, Resources
 from .usage import effective_limit, larger_of, smaller_of
 
@@ -49,26 +49,27 @@
     def apply(
         self,
         report: UsageReport,
-        accounts: Mapping[str, Account],
+        catalog: Catalog,
         services: Collection[str],
     ) -> Allotment:
         """
         Record *report* and return the new allotment of its service.
 
-        A report that a later one has overtaken changes nothing and gets
-        nothing.
+        The limits are those of *catalog*, and *services* all that may run
+        tasks of accounts.  A report that a later one has overtaken changes
+        nothing and gets nothing.
         """
         if self._is_overtaken(report):
-            return Allotment(self.epoch, report.number, ())
+            return Allotment(self.epoch, report.number, catalog.version, ())
         self.reports[report.service] = report
         self._record_usage(report)
         may_grow = not self.missing(services)
         amounts = tuple(
             self._allot(report.service, usage, account, may_grow=may_grow)
             for usage in report.usages
-            if (account := accounts.get(usage.account))
+            if (account := catalog.accounts.get(usage.account))
         )
-        return Allotment(self.epoch, report.number, amounts)
+        return Allotment(self.epoch, report.number, catalog.version, amounts)
 
     def total(self, account: str) -> Resources:
         """Return the sum of what the services may have in use."""
@@ -117,7 +118,6 @@
         return AllottedAmount(
             usage.account,
             amount,
-            account.limit,
             self._arrivals_elsewhere(service, usage.account),
         )
 
--- a/cyclamenshift/duties/accounts.py
+++ b/cyclamenshift/duties/accounts.py
@@ -68,4 +68,4 @@
         if self.ledger is None or catalog is None:
             return NotOwned()
         services = set(self.kernel.get(SchedulerDuty).domains(catalog))
-        return self.ledger.apply(report, catalog.accounts, services)
+        return self.ledger.apply(report, catalog, services)
--- a/cyclamenshift/scheduling/account_limits.py
+++ b/cyclamenshift/scheduling/account_limits.py
@@ -16,6 +16,7 @@
 from ..decisions.accounts.allotments import (
     AccountDemand,
     Allotments,
+    ReportOwner,
     StartBudget,
     has_grown,
 )
@@ -91,6 +92,12 @@
             self.tracker.account_usages.used, waiting, self.accounts, capacity
         )
 
+    @property
+    def version(self) -> int:
+        """The version of the active configuration, 0 before the first."""
+        catalog = self.directory.catalog
+        return catalog.version if catalog else 0
+
     @property
     def limits(self) -> Mapping[str, Resources]:
         """The limits of the accounts that have one, by name."""
@@ -110,7 +117,8 @@
         limits = self.limits
         if self.directory.catalog_age > self.max_age:
             return StartBudget(dict.fromkeys(limits, NOTHING))
-        return self.allotments.budget(limits, self.tracker.account_usages.used)
+        used = self.tracker.account_usages.used
+        return self.allotments.budget(limits, self.version, used)
 
     def request(self, budget: StartBudget) -> None:
         """Ask for more for the accounts whose tasks could not start."""
@@ -121,10 +129,9 @@
     async def run(self) -> None:
         """Report the usage again and again, while accounts have limits."""
         while True:
-            limits = self.limits
             pause = IDLE_PAUSE_MS
-            if limits:
-                pause = await self._report(limits)
+            if self.limits:
+                pause = await self._report()
             self.wanted = trio.Event()
             if self.exhausted:
                 await self.clock.sleep(pause)
@@ -132,11 +139,11 @@
             with self.clock.move_on_after(IDLE_PAUSE_MS):
                 await self.wanted.wait()
 
-    async def _report(self, limits: Mapping[str, Resources]) -> int:
+    async def _report(self) -> int:
         """Report once and return how long to pause, ms."""
         ownership = self.kernel.get(Ownership)
         self.allotments.expect(ownership.epoch_of(ACCOUNTS_DOMAIN))
-        report = self._next_report(limits)
+        report = self._next_report()
         answer = await ownership.call_owner(
             ACCOUNTS_DOMAIN, report, CALL_TIMEOUT_MS
         )
@@ -149,7 +156,7 @@
         self.wake()
         return GROWING_PAUSE_MS
 
-    def _next_report(self, limits: Mapping[str, Resources]) -> UsageReport:
+    def _next_report(self) -> UsageReport:
         used = self.tracker.account_usages.used
         arrivals = self.shares.arrivals(self.clock.now())
         waiting = resources_by_account(self.tracker.waiting.values())
@@ -160,8 +167,7 @@
                 waiting.get(account, NO_RESOURCES),
                 arrivals.get(account, 0),
             )
-            for account in active
+            for account in active.intersection(self.limits)
         }
-        return self.allotments.report(
-            self.term.domain, self.term.epoch, limits, demands
-        )
+        owner = ReportOwner(self.term.domain, self.term.epoch)
+        return self.allotments.report(owner, self.version, demands)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -262,9 +262,8 @@
     values: dict[str, Any] = {
         'epoch': 1,
         'number': 1,
-        'amounts': (
-            AllottedAmount('account-1', NO_RESOURCES, NO_RESOURCES, 0),
-        ),
+        'version': 1,
+        'amounts': (AllottedAmount('account-1', NO_RESOURCES, 0),),
     }
     return Allotment(**(values | overrides))
 
