--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -130,7 +130,7 @@
         is_settled = all(
             report.number != number for _epoch, report in self.reports
         ) and all(answer.number != number for _owner, answer in self.answers)
-        if not is_settled and self.rng.randrange(10):
+        if not is_settled and self.rng.randrange(3):
             return
         ledger = self.rng.choice(self.ledgers[-2:])
         report = scheduler.report(ledger.epoch)
