--- a/tests/builders.py
+++ b/tests/builders.py
@@ -9,7 +9,9 @@
 """
 
 import json
-from typing import Any, cast
+import math
+import random
+from typing import Any, NamedTuple, cast
 
 from cyclamenshift import settings
 from cyclamenshift.decisions.call_order import ReportTiming
@@ -25,7 +27,9 @@
     NO_RESOURCES,
     Job,
     Resources,
+    RunEnd,
     RunId,
+    RunOutcome,
     Step,
     TaskId,
 )
@@ -179,6 +183,43 @@
     return RunId(**(values | overrides))
 
 
+def run_end(run: RunId, **overrides: Any) -> RunEnd:
+    """Return the first end at a worker: *run* is done."""
+    values: dict[str, Any] = {
+        'number': 1,
+        'run': run,
+        'outcome': RunOutcome.done,
+        'checkpoint': '',
+    }
+    return RunEnd(**(values | overrides))
+
+
+class MeasuredStep(NamedTuple):
+    """The estimate and the run times of the tasks of a step, ms."""
+
+    estimate: int
+    run_times: tuple[int, ...]
+
+
+def measured_steps(
+    seed: int, count: int, deviation: float = 0, factor: float = 1
+) -> list[MeasuredStep]:
+    """
+    Return steps of 8 tasks, of .7 to 1.8 s each.
+
+    Their estimates are wrong at random, by a normally distributed logarithm
+    with a standard *deviation*, and then divided by *factor*.
+    """
+    generator = random.Random(seed)
+    steps = []
+    for _number in range(count):
+        run_time = generator.uniform(700, 1_800)
+        error = math.exp(generator.gauss(0, deviation)) if deviation else 1
+        estimate = max(1, round(run_time * error / factor))
+        steps.append(MeasuredStep(estimate, (round(run_time),) * 8))
+    return steps
+
+
 def start_order(**overrides: Any) -> StartOrder:
     """Return the order to start the first run of a task."""
     values: dict[str, Any] = {
