Learn run times and compute schedules, demand and copies from them

With overload.learned_run_times, a scheduler learns the run times of finished steps from runs that it started and saw to their end, without retries, copies, resumed runs and slow workers. Tails and objective, the work that arrives and the age at which a run without done siblings gets a copy follow the predictions. The schedules of waiting jobs are computed again when a prediction changed by a tenth, at most each 500 ms. A successor starts empty and logs it. With the setting off, which is the default, there is no model, and estimates are taken as before.

--- a/cyclamenshift/decisions/arrivals.py
+++ b/cyclamenshift/decisions/arrivals.py
@@ -10,6 +10,7 @@
 
 from ..job import NO_RESOURCES, Job, Resources
 from .admission import AMOUNT_LIMIT, TASK_LIMIT
+from .overload.run_times import RunTimeModel
 from .schedules import work_of
 
 #: The window in which arrivals are counted, ms: short enough to follow a
@@ -22,13 +23,14 @@
 class Arrivals:
     """The resource time of recently arrived jobs."""
 
-    def __init__(self) -> None:
-        """Start without any job."""
+    def __init__(self, run_times: RunTimeModel | None = None) -> None:
+        """Start without any job; *run_times* predicts run times."""
+        self.run_times = run_times
         self.recent: deque[tuple[int, Resources]] = deque()
 
     def add(self, job: Job, now: int) -> None:
         """Count a job that arrived at *now*, monotonic ms."""
-        self.recent.append((now, work_of(job)))
+        self.recent.append((now, work_of(job, self.run_times)))
 
     def demand(self, now: int) -> Resources:
         """
--- a/cyclamenshift/decisions/copies.py
+++ b/cyclamenshift/decisions/copies.py
@@ -23,18 +23,27 @@
 SILENCE_TIMEOUT_MS: Final = 300
 
 
+class Bounds(NamedTuple):
+    """The typical run time of a step, and the age of a slow run, ms."""
+
+    typical: int | None
+    limit: float | None
+
+
 class SlowRun(NamedTuple):
     """
     A run that should get a copy.
 
     ``age`` is the time since it was planned, or a lower bound of it;
-    ``typical`` the run time of its step, None if unknown; both in ms.
-    ``silent`` is whether its worker does not answer.
+    ``typical`` the run time of its step, None if too few of its tasks are
+    done; both in ms.  ``limit`` is the age from which on a run of the step is
+    slow, None if unknown.  ``silent`` is whether its worker does not answer.
     """
 
     attempt: Attempt
     age: int
     typical: int | None
+    limit: float | None
     silent: bool
 
 
@@ -49,19 +58,20 @@
     Only speculative tasks get a copy, and at most one at a time.  *silent*
     are the workers that do not answer.
     """
-    typical: dict[StepId, int | None] = {}
+    bounds: dict[StepId, Bounds] = {}
     slow = []
     for attempt in attempts:
         task = attempt.task
         if not _may_copy(task):
             continue
         key = task.task_id.step_id
-        if key not in typical:
-            typical[key] = _typical_run_time(task)
+        if key not in bounds:
+            bounds[key] = _bounds(task)
         run = SlowRun(
             attempt,
             age=attempt.elapsed(now),
-            typical=typical[key],
+            typical=bounds[key].typical,
+            limit=bounds[key].limit,
             silent=_is_silent(attempt, silent),
         )
         if _is_slow(run):
@@ -87,9 +97,20 @@
     if run.silent:
         adopted = run.attempt.planned_at is None
         return adopted or run.age > SILENCE_TIMEOUT_MS
-    if not run.typical:
-        return False
-    return run.age > run.typical * SLOW_FACTOR
+    return run.limit is not None and run.age > run.limit
+
+
+def _bounds(task: Task) -> Bounds:
+    typical = _typical_run_time(task)
+    if typical:
+        return Bounds(typical, typical * SLOW_FACTOR)
+    if task.job.run_times is None:
+        return Bounds(typical, None)
+    step = task.step
+    longest = task.job.run_times.predict_longest(
+        task.job.job.queue, step.image, step.estimate
+    )
+    return Bounds(typical, longest)
 
 
 def _typical_run_time(task: Task) -> int | None:
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -13,6 +13,7 @@
 from ..directory import Queue
 from ..job import Job, JobState, RunEnd, RunId, RunOutcome, Step, TaskId
 from .crashes import Crashes, KnownAge, MinimumAge, RunAge, count_crash
+from .overload.run_times import RunTimeModel
 from .schedules import schedule_of
 from .start_orders import StartOrders
 
@@ -200,7 +201,8 @@
     One task of a step, with its current attempts.
 
     ``run_time`` is the duration of the run that completed it, ms, None if
-    unknown.  ``failed_at`` are the workers where a run of it failed;
+    unknown; ``learned_run_time`` is the same if the run was a usual one.
+    ``failed_at`` are the workers where a run of it failed;
     ``failed_runs`` has the numbers of the runs counted in ``failures``, unless
     the task is long-running, and ``crashes`` tells of workers that crashed
     while it ran there.
@@ -218,6 +220,7 @@
         self.checkpoint = ''
         self.done = False
         self.run_time: int | None = None
+        self.learned_run_time: int | None = None
         self.attempts: dict[int, Attempt] = {}
         self.failed_at: set[WorkerInstance] = set()
 
@@ -256,16 +259,23 @@
     count, but no task starts, and no failure is the last one.
     ``generation`` grows with each change that must be recorded; ``recorded``
     is the last generation that was recorded.
-    ``end_logged`` is set once the job's final state was logged.
+    ``end_logged`` is set once the job's final state was logged.  ``run_times``
+    predicts run times, None if the estimates are taken for them.
     """
 
-    def __init__(self, job: Job, queue: Queue) -> None:
+    def __init__(
+        self,
+        job: Job,
+        queue: Queue,
+        run_times: RunTimeModel | None = None,
+    ) -> None:
         """Create a job without tasks; ``open_due`` opens the first steps."""
         self.job = job
         self.queue = queue
         self.state = JobState.queued
         self.started = False
-        self.schedule = schedule_of(job, queue)
+        self.run_times = run_times
+        self.schedule = schedule_of(job, queue, run_times)
         self.steps: dict[tuple[int, int], list[Task]] = {}
         self.finished: set[int] = set()
         self.next_occurrence = 0
@@ -287,7 +297,7 @@
         The job fails if a task has no attempts left under the queue.
         """
         self.queue = queue
-        self.schedule = schedule_of(self.job, queue)
+        refresh_schedule(self)
         if self.state.final or not any(map(self._exhausted, self.tasks())):
             return RunEndEffect()
         return self.finish(JobState.failed, wall_time)
@@ -331,6 +341,8 @@
                 for earlier in step.dependencies
             ):
                 opened.extend(self.open_step(occurrence, number))
+        if opened and self.run_times:
+            refresh_schedule(self)
         return opened
 
     def open_step(self, occurrence: int, number: int) -> list[Task]:
@@ -478,6 +490,13 @@
             self.finish(JobState.completed, wall_time)
 
 
+def refresh_schedule(progress: JobProgress) -> None:
+    """Compute the schedule of a job by what is known of run times now."""
+    progress.schedule = schedule_of(
+        progress.job, progress.queue, progress.run_times
+    )
+
+
 def checkpoint_of(end: RunEnd, task: Task) -> str:
     """Return the checkpoint from which the next run of *task* resumes."""
     if end.outcome is RunOutcome.done:
--- a/cyclamenshift/decisions/reports.py
+++ b/cyclamenshift/decisions/reports.py
@@ -11,6 +11,7 @@
 from ..worker import WorkerReport
 from .call_order import ReportTiming
 from .evidence import Ended, Unlisted
+from .overload.run_samples import StepSample
 from .progress import (
     Attempt,
     JobProgress,
@@ -35,7 +36,8 @@
     ``orphans`` are runs that the worker should not be running.  ``unlisted``
     are the attempts that were removed because the worker does not list them,
     ``adopted`` those of runs that had none, and ``untracked`` the ends of runs
-    without an attempt.
+    without an attempt.  ``samples`` are the finished steps whose run times
+    were learned.
     """
 
     jobs: tuple[JobProgress, ...]
@@ -43,6 +45,7 @@
     unlisted: tuple[Attempt, ...] = ()
     adopted: tuple[Attempt, ...] = ()
     untracked: tuple[RunEnd, ...] = ()
+    samples: tuple[StepSample, ...] = ()
 
 
 class ReportApplication:
@@ -65,6 +68,7 @@
         self.unlisted: list[Attempt] = []
         self.adopted: list[Attempt] = []
         self.untracked: list[RunEnd] = []
+        self.samples: list[StepSample] = []
 
     def run(self) -> ReportResult:
         """Apply the ended and the running runs."""
@@ -85,6 +89,7 @@
             tuple(self.unlisted),
             tuple(self.adopted),
             tuple(self.untracked),
+            tuple(self.samples),
         )
 
     def _find_attempt(self, run: RunId) -> Attempt | None:
@@ -104,10 +109,17 @@
             self._record_failure(task, end)
         elif counted and not task.step.long_running:
             task.run_time = attempt.run_time(self.report.clock)
+            self._learn(attempt)
             self.tracker.complete(task, self.wall_time)
         self.tracker.weigh(attempt, Ended(end.outcome))
         return [task.job] if counted else []
 
+    def _learn(self, attempt: Attempt) -> None:
+        learner = self.tracker.learner
+        sample = learner and learner.observe(attempt, self.report.clock)
+        if sample:
+            self.samples.append(sample)
+
     def _apply_untracked_end(self, end: RunEnd) -> list[JobProgress]:
         """
         Count the end of a run that has no attempt any more.
--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -20,6 +20,7 @@
 )
 from ..jobrows import ProgressRow
 from .crashes import MAX_CAUSE_AGE_MS, Crashes, RunAge
+from .overload.run_samples import RunTimeLearner
 from .progress import (
     UNCONFIRMED,
     Attempt,
@@ -58,11 +59,14 @@
     jobs with occurrences that are not due yet; ``dirty`` the jobs with
     unrecorded changes; ``to_stop`` the attempts to stop; ``to_settle`` those
     that may be at another instance of their worker.  ``used`` is the sum
-    of the resources reserved at each worker.
+    of the resources reserved at each worker.  ``learner`` learns the run
+    times, and ``run_times`` predicts them, both None if they are not learned.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, learner: RunTimeLearner | None = None) -> None:
         """Create a tracker without jobs."""
+        self.learner = learner
+        self.run_times = learner.model if learner else None
         self.jobs: dict[str, JobProgress] = {}
         self.waiting: dict[TaskId, Task] = {}
         self.scheduled: dict[str, JobProgress] = {}
@@ -76,7 +80,7 @@
         """Add a new job; return None if it is already tracked."""
         if job.job_id in self.jobs:
             return None
-        progress = JobProgress(job, queue)
+        progress = JobProgress(job, queue, self.run_times)
         self.jobs[job.job_id] = progress
         self.scheduled[job.job_id] = progress
         self.open_due(wall_time)
--- a/cyclamenshift/loadmetrics.py
+++ b/cyclamenshift/loadmetrics.py
@@ -31,6 +31,10 @@
     10_000.0,
     30_000.0,
 )
+#: Upper bounds of the buckets of the run time over the expected one: a tenth,
+#: the factors 1.5 and 2.5, and the factor 6 (two standard deviations of the
+#: estimates of one deployment), to both sides.
+RATIO_BUCKETS: Final = (0.167, 0.4, 0.667, 0.9, 1.1, 1.5, 2.5, 6.0)
 #: The labels and the value of each series of a collector.
 Series: TypeAlias = list[tuple[dict[str, str], Any]]
 
@@ -173,12 +177,28 @@
             'Jobs whose progress the store rejects, by service owned here.',
             'service',
         )
+        self.run_time_ratio = Histogram(
+            'cyclamenshift_run_time_ratio',
+            'Run time of a step over the estimated or the predicted one.',
+            registry=registry,
+            buckets=RATIO_BUCKETS,
+        )
         self.owned_epochs = self._reading(
             'owned_epoch',
             'Epoch of each domain that this entry VM owns.',
             'domain',
         )
 
+    def record_run_time(
+        self, service: str, estimate: int, predicted: int, actual: float
+    ) -> None:
+        """Compare a run time with what was expected, ms, 0 if unknown."""
+        expected = {'estimate': estimate, 'prediction': predicted}
+        for basis, run_time in expected.items():
+            if run_time:
+                labels = {'service': service, 'basis': basis}
+                self.run_time_ratio.observe(labels, actual / run_time)
+
     def _timing(self, name: str, doc: str, label: str = '') -> Timing:
         return Timing(f'cyclamenshift_{name}', doc, label, self.registry)
 
--- a/cyclamenshift/scheduling/job_reader.py
+++ b/cyclamenshift/scheduling/job_reader.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from ..decisions.overload.run_times import RunTimeModel
 from ..decisions.pieces import join
 from ..decisions.progress import UNKNOWN_QUEUE, JobProgress
 from ..directory import Directory, Queue
@@ -72,6 +73,7 @@
             'Job tables loaded.',
             jobs=len(self.tracker.jobs),
             version=self.versions[JOB_TABLE],
+            **_known_run_times(self.tracker.run_times),
         )
 
     async def poll(self, table: str) -> None:
@@ -172,7 +174,7 @@
         fields = self._decode_progress(progress_row, piece_rows)
         if fields is None:
             return None
-        progress = JobProgress(job, queue)
+        progress = JobProgress(job, queue, self.tracker.run_times)
         self.tracker.restore(progress, fields, wall_time, self.clock.now())
         return progress
 
@@ -273,6 +275,13 @@
             return None
 
 
+def _known_run_times(run_times: RunTimeModel | None) -> dict[str, int]:
+    """Return the field that tells that a model has started empty."""
+    return (
+        {} if run_times is None else {'run_times_known': len(run_times.pairs)}
+    )
+
+
 def _pieces_by_job(rows: Iterable[Row]) -> dict[str, list[Row]]:
     """Return the rows of pieces among *rows*, by the id of their job."""
     pieces: dict[str, list[Row]] = {}
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -83,6 +83,7 @@
                 changed = self.state.changed
                 started = self.clock.now()
                 self._open_due_occurrences()
+                self._refresh_schedules()
                 self._evict_leaving_workers(nursery)
                 placer.place()
                 self._settle_attempts(nursery)
@@ -210,6 +211,11 @@
     def _open_due_occurrences(self) -> None:
         self.tracker.open_due(self.clock.wall_time())
 
+    def _refresh_schedules(self) -> None:
+        if self.tracker.learner:
+            waiting = self.tracker.waiting.values()
+            self.tracker.learner.refresh(waiting, self.clock.now())
+
     def _time_until_due(self) -> int:
         due = self.tracker.next_due()
         if due is None:
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -20,6 +20,7 @@
     ProcessRestarted,
 )
 from ..decisions.leases import LeaseBounds
+from ..decisions.overload.run_samples import RunTimeLearner
 from ..decisions.progress import Attempt, WorkerInstance
 from ..decisions.reports import ReportApplication, ReportResult
 from ..decisions.tracker import JobTracker, WorkerCrash
@@ -59,8 +60,12 @@
         self.log = get_logger(f'scheduler.{self.service}')
         self.run_log = RunLog(kernel.clock, self.log, term)
         self.client = kernel.get(WorkerClient)
-        self.tracker = JobTracker()
-        self.arrivals = Arrivals()
+        self.tracker = JobTracker(
+            RunTimeLearner()
+            if kernel.settings['overload']['learned_run_times']
+            else None
+        )
+        self.arrivals = Arrivals(self.tracker.run_times)
         self.recorder = Recorder(
             term,
             self.ownership.store,
@@ -171,6 +176,8 @@
             self.kernel.metrics.run_ends.inc(
                 {'service': self.service, 'how': str(end.outcome)},
             )
+        for sample in report_result.samples:
+            self.kernel.metrics.load.record_run_time(self.service, *sample)
         self.run_log.record_report(session, new_report, report_result)
         if report_result.orphans:
             orphans = self.orphans.setdefault(session.worker.instance, set())
