--- a/cyclamenshift/decisions/overload/costs.py
+++ b/cyclamenshift/decisions/overload/costs.py
@@ -14,6 +14,7 @@
 
 from ...job import StepId
 from ..progress import JobProgress, Task
+from ..schedules import mean_run_time
 
 #: The part of the backlog that a job of average work has to make up for by its
 #: slack.  Half of it keeps nearly the order by slack in a short backlog.
@@ -64,4 +65,5 @@
 
 def _work_of_task(progress: JobProgress, number: int) -> int:
     step = progress.job.steps[number]
-    return step.resources.cpu * step.estimate
+    run_time = mean_run_time(progress.job, step, progress.run_times)
+    return step.resources.cpu * run_time
--- a/cyclamenshift/decisions/urgency.py
+++ b/cyclamenshift/decisions/urgency.py
@@ -6,7 +6,7 @@
 """
 
 import enum
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import Final, NamedTuple
 
 from ..directory import NO_ACCOUNTS, Account
@@ -51,13 +51,15 @@
     What the order of one scheduling pass depends on besides the jobs.
 
     ``over_share`` are the accounts that have more than their part of the
-    pool, and ``capacity`` is its cpu, millicores, 0 to order jobs regardless
-    of their work.  If ``promotes`` is set, the job that is too late by the
-    most goes first, so that none waits for ever.
+    pool, and ``beyond_share`` the jobs that came while their account submitted
+    more than its share.  ``capacity`` is the cpu of the pool, millicores, 0
+    to order jobs regardless of their work.  If ``promotes`` is set, the job
+    that is too late by the most goes first, so that none waits for ever.
     """
 
     accounts: Mapping[str, Account] = NO_ACCOUNTS
-    over_share: frozenset[str] = frozenset()
+    over_share: Collection[str] = frozenset()
+    beyond_share: Collection[str] = frozenset()
     capacity: int = 0
     promotes: bool = False
 
@@ -73,7 +75,7 @@
     name = progress.job.account
     account = ranking.accounts.get(name)
     urgency = Urgency(
-        beyond_share=progress.beyond_share,
+        beyond_share=progress.job.job_id in ranking.beyond_share,
         priority=progress.queue.priority,
         account_priority=account.priority if account else 0,
         timeliness=Timeliness.in_time,
--- a/cyclamenshift/scheduling/account_limits.py
+++ b/cyclamenshift/scheduling/account_limits.py
@@ -25,7 +25,7 @@
 from ..decisions.tracker import JobTracker
 from ..directory import NO_ACCOUNTS, Account, Directory
 from ..duty import OwnershipTerm
-from ..job import NO_RESOURCES, Resources
+from ..job import NO_RESOURCES, Job, Resources
 
 #: The domain of the ledger of account limits; no service has this name.
 ACCOUNTS_DOMAIN: Final = '~accounts'
@@ -62,6 +62,7 @@
         self.wake = wake
         self.allotments = Allotments()
         self.shares = AccountShares()
+        self.beyond_share: set[str] = set()
         self.limited_accounts: Mapping[str, Account] = NO_ACCOUNTS
         self.known_limits: Mapping[str, Resources] = {}
         self.exhausted: set[str] = set()
@@ -73,13 +74,14 @@
         catalog = self.directory.catalog
         return catalog.accounts if catalog else NO_ACCOUNTS
 
-    def record_arrival(self, name: str) -> bool:
-        """Count a new job of an account; return whether it is in its share."""
-        account = self.accounts.get(name)
+    def record_arrival(self, job: Job) -> None:
+        """Count a new job, which may be beyond the share of its account."""
+        account = self.accounts.get(job.account)
         if account is None:
-            return True
-        elsewhere = self.allotments.elsewhere(name)
-        return self.shares.add(account, elsewhere, self.clock.now())
+            return
+        elsewhere = self.allotments.elsewhere(account.name)
+        if not self.shares.add(account, elsewhere, self.clock.now()):
+            self.beyond_share.add(job.job_id)
 
     def over_share(self, capacity: Resources) -> frozenset[str]:
         """Return the accounts that have more than their part of the pool."""
@@ -159,6 +161,7 @@
     def _next_report(self) -> UsageReport:
         used = self.tracker.account_usages.used
         arrivals = self.shares.arrivals(self.clock.now())
+        self.beyond_share.intersection_update(self.tracker.jobs)
         waiting = resources_by_account(self.tracker.waiting.values())
         active = set().union(used, waiting, arrivals)
         demands = {
--- a/cyclamenshift/scheduling/job_reader.py
+++ b/cyclamenshift/scheduling/job_reader.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from ..decisions.overload.run_times import RunTimeModel
 from ..decisions.pieces import join
 from ..decisions.progress import UNKNOWN_QUEUE, JobProgress
 from ..directory import Directory, Queue
@@ -79,6 +80,7 @@
             'Job tables loaded.',
             jobs=len(self.tracker.jobs),
             version=self.versions[JOB_TABLE],
+            **_known_run_times(self.tracker.run_times),
         )
 
     async def poll(self, table: str) -> None:
@@ -96,9 +98,7 @@
         """Add a job that has been stored."""
         if self._register(StoredJob(job, None)):
             self.state.arrivals.add(job, self.clock.now())
-            progress = self.tracker.jobs[job.job_id]
-            within = self.account_limits.record_arrival(job.account)
-            progress.beyond_share = not within
+            self.account_limits.record_arrival(job)
             self.state.wake()
 
     def cancel(self, job_id: str) -> None:
@@ -182,7 +182,7 @@
         fields = self._decode_progress(progress_row, piece_rows)
         if fields is None:
             return None
-        progress = JobProgress(job, queue)
+        progress = JobProgress(job, queue, self.tracker.run_times)
         self.tracker.restore(progress, fields, wall_time, self.clock.now())
         return progress
 
@@ -283,6 +283,13 @@
             return None
 
 
+def _known_run_times(run_times: RunTimeModel | None) -> dict[str, int]:
+    """Return the field that tells that a model has started empty."""
+    return (
+        {} if run_times is None else {'run_times_known': len(run_times.pairs)}
+    )
+
+
 def _pieces_by_job(rows: Iterable[Row]) -> dict[str, list[Row]]:
     """Return the rows of pieces among *rows*, by the id of their job."""
     pieces: dict[str, list[Row]] = {}
--- a/cyclamenshift/scheduling/placer.py
+++ b/cyclamenshift/scheduling/placer.py
@@ -109,6 +109,7 @@
         return Ranking(
             accounts=self.account_limits.accounts,
             over_share=self.account_limits.over_share(capacity),
+            beyond_share=self.account_limits.beyond_share,
             capacity=capacity.cpu if by_cost else 0,
             promotes=promotes,
         )
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -78,18 +78,13 @@
             await self.job_reader.load()
             self.nursery = nursery
             self.loaded = True
-            nursery.start_soon(self.state.recorder.run)
-            nursery.start_soon(self._watch_workers, nursery)
-            for table in tuple(self.job_reader.versions):
-                nursery.start_soon(self.job_reader.poll, table)
-            nursery.start_soon(Sweeper(self.state).run)
-            nursery.start_soon(report_pool, self.state, self.report_to_manager)
-            nursery.start_soon(self.account_limits.run)
+            self._start_tasks(nursery)
             placer = Placer(self.state, nursery, self.account_limits)
             while True:
                 changed = self.state.changed
                 started = self.clock.now()
                 self._open_due_occurrences()
+                self._refresh_schedules()
                 self._evict_leaving_workers(nursery)
                 placer.place()
                 self._settle_attempts(nursery)
@@ -162,6 +157,16 @@
             },
         }
 
+    def _start_tasks(self, nursery: trio.Nursery) -> None:
+        """Start what runs beside the scheduling passes."""
+        nursery.start_soon(self.state.recorder.run)
+        nursery.start_soon(self._watch_workers, nursery)
+        for table in tuple(self.job_reader.versions):
+            nursery.start_soon(self.job_reader.poll, table)
+        nursery.start_soon(Sweeper(self.state).run)
+        nursery.start_soon(report_pool, self.state, self.report_to_manager)
+        nursery.start_soon(self.account_limits.run)
+
     async def _watch_workers(self, nursery: trio.Nursery) -> None:
         while True:
             self._sync_workers(nursery)
@@ -222,6 +227,11 @@
     def _open_due_occurrences(self) -> None:
         self.tracker.open_due(self.clock.wall_time())
 
+    def _refresh_schedules(self) -> None:
+        if self.tracker.learner:
+            waiting = self.tracker.waiting.values()
+            self.tracker.learner.refresh(waiting, self.clock.now())
+
     def _time_until_due(self) -> int:
         due = self.tracker.next_due()
         if due is None:
--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -266,3 +266,16 @@
     second = allotments.report(owner, 1, demand)
     assert not allotments.apply(late)
     assert allotments.apply(LimitLedger(2).apply(second, limits, ('desk',)))
+
+
+def test_answers_to_earlier_reports_are_dropped() -> None:
+    """A late answer allowed what had been given back since."""
+    allotments = Allotments()
+    owner = ReportOwner('desk', 1)
+    ledger = LimitLedger(1)
+    demand = {NAME: AccountDemand(NO_RESOURCES, cpu(5_000), 0)}
+    first = allotments.report(owner, 1, demand)
+    late = ledger.apply(first, accounts_of(9_000), ('desk',))
+    allotments.report(owner, 1, {})
+    assert not allotments.apply(late)
+    assert allotments.allowed(NAME, 1) == NO_RESOURCES
--- a/tests/test_account_shares.py
+++ b/tests/test_account_shares.py
@@ -45,6 +45,7 @@
         self.rng = random.Random(seed)
         self.factor = factor
         self.shares = AccountShares()
+        self.beyond_share: set[str] = set()
         self.usages = AccountUsages()
         self.waiting: dict[str, tuple[int, Task]] = {}
         self.running: list[tuple[int, Task]] = []
@@ -74,8 +75,8 @@
             steps=(step(tasks=1, estimate=RUN_MS),),
         )
         progress = JobProgress(submitted, queue())
-        within = self.shares.add(ACCOUNTS[name], 0, now)
-        progress.beyond_share = not within
+        if not self.shares.add(ACCOUNTS[name], 0, now):
+            self.beyond_share.add(submitted.job_id)
         (task,) = progress.open_ready_steps(0)
         self.waiting[submitted.job_id] = (now, task)
 
@@ -90,7 +91,7 @@
         urgent = most_urgent_first(
             [task for _at, task in self.waiting.values()],
             WALL_START + now,
-            Ranking(ACCOUNTS, over),
+            Ranking(ACCOUNTS, over, self.beyond_share),
         )
         free = SLOTS - len(self.running)
         for task, _slot in zip(urgent, range(free), strict=False):
