Count runs that an earlier scheduler may be stopping as unavailable

A scheduler that hands over has ordered a task to stop; its worker lists the run as serving until it has stopped, so that the successor took the allowance for free and stopped another one. A run that this scheduler did not order now counts as serving only once it was seen for longer than a stop takes (jobs.stop_time, from the platform's file): no order of an earlier scheduler is executed after the first report. Each eviction is logged with what counted as unavailable.

--- a/cyclamenshift/platform/settings.py
+++ b/cyclamenshift/platform/settings.py
@@ -44,6 +44,8 @@
 #: Default time within which a worker that announced its end must be avoided,
 #: ms.
 DEFAULT_DRAIN_MS: Final = 2_000
+#: Default time that a worker takes to stop a run, ms.
+DEFAULT_STOP_MS: Final = 1_000
 #: The port of the operators' front end; deploy/system.toml repeats it.
 METRICS_PORT: Final = 9464
 #: The name of the adapter's plug-ins.
@@ -80,6 +82,8 @@
         # The time after a worker announced its end within which tasks may
         # still start there.
         'drainMs': NotRequired[int],
+        # The time that a worker takes to stop a run.
+        'stopMs': NotRequired[int],
     },
 )
 #: The platform's store.
@@ -176,6 +180,7 @@
             'manager_lease': bounds.get('leaseMs', DEFAULT_MANAGER_LEASE_MS),
             'configuration_age': bounds.get('configApplyMs', DEFAULT_APPLY_MS),
             'registration_age': bounds.get('drainMs', DEFAULT_DRAIN_MS),
+            'stop_time': bounds.get('stopMs', DEFAULT_STOP_MS),
             'provider': body['cloud']['address'],
         },
     }
--- a/cyclamenshift/scheduling/run_log.py
+++ b/cyclamenshift/scheduling/run_log.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from ..clock import Clock
-from ..decisions.progress import Attempt, WorkerInstance
+from ..decisions.progress import Attempt, Task, WorkerInstance
 from ..decisions.reports import ReportResult
 from ..duty import OwnershipTerm
 from ..job import RunEnd, RunId
@@ -127,6 +127,23 @@
             **self._context(session),
         )
 
+    def record_evicted(
+        self,
+        session: WorkerSession,
+        attempt: Attempt,
+        unavailable: Iterable[Task],
+    ) -> None:
+        """Log the stop of a run, and which others counted as unavailable."""
+        self._note(
+            'Run evicted.',
+            session,
+            run=attempt.run,
+            leaving=session.worker.leaving,
+            unavailable=[task.task_id.ordinal for task in unavailable],
+            limit=attempt.task.step.disruption_limit,
+            seen_ms=attempt.seen_for,
+        )
+
     def record_unregistered(
         self,
         instance: WorkerInstance,
--- a/cyclamenshift/scheduling/vacating.py
+++ b/cyclamenshift/scheduling/vacating.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from ..decisions.eviction import may_evict
+from ..decisions.eviction import may_evict, unavailable
 from ..fleetmessages import RESERVATION_MS
 from .orders import stop_attempt
 from .state import ServiceState
@@ -52,8 +52,12 @@
 ) -> None:
     """Stop the evictable runs of a worker, in tasks of *nursery*."""
     for attempt in state.tracker.attempts_at(session.worker.instance):
-        if may_evict(attempt):
+        stop_time = state.settings['stop_time']
+        if may_evict(attempt, stop_time):
             attempt.evicted = True
+            state.run_log.record_evicted(
+                session, attempt, unavailable(attempt, stop_time)
+            )
             nursery.start_soon(stop_attempt, state, session, attempt)
 
 
--- a/cyclamenshift/settings.py
+++ b/cyclamenshift/settings.py
@@ -100,7 +100,8 @@
     new fleet manager waits ``manager_lease`` before its first order.
     ``provider`` is the address of the VM provider. A configuration that was
     not confirmed for ``configuration_age`` decides no request, and no task
-    starts by registrations older than ``registration_age``.
+    starts by registrations older than ``registration_age``.  A worker stops a
+    run within ``stop_time``.
     """
 
     plugin: Name
@@ -111,6 +112,7 @@
     manager_lease: Millis
     configuration_age: Millis
     registration_age: Millis
+    stop_time: Millis
     provider: str
 
 
@@ -208,6 +210,7 @@
         'manager_lease': 3_000,
         'configuration_age': 3_000,
         'registration_age': 3_000,
+        'stop_time': 1_000,
         'provider': '',
     },
     'overload': {
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -74,7 +74,7 @@
     orders are lost; for each value in ``late_order_delays``, one start order
     arrives that many ms late and gets no response.  If ``names_receivers`` is
     set, the result of a start order names the life that alone may carry it
-    out.  ``lives`` has the life
+    out.  Workers stop a run in ``stop_ms``.  ``lives`` has the life
     that is up at the address of each worker that was restarted.
     """
 
@@ -92,6 +92,7 @@
         self.lose_answers = 0
         self.late_order_delays: list[int] = []
         self.names_receivers = False
+        self.stop_ms = STOP_MS
 
     def add(self, worker: Worker) -> SimWorker:
         """Start a worker, whose clock differs from those of the others."""
@@ -169,7 +170,7 @@
         sim.last_run_numbers[run.task] = max(last_number, run.number)
         running = sim.running.get(run)
         if running:
-            running.stops_at = now + STOP_MS
+            running.stops_at = now + self.stop_ms
         return Accepted(sim.clock(now))
 
     def renew(
