--- a/cyclamenshift/decisions/arrivals.py
+++ b/cyclamenshift/decisions/arrivals.py
@@ -26,9 +26,11 @@
         """Start without any job."""
         self.recent: deque[tuple[int, Resources]] = deque()
 
-    def add(self, job: Job, now: int) -> None:
-        """Count a job that arrived at *now*, monotonic ms."""
-        self.recent.append((now, work_of(job)))
+    def add(self, job: Job, now: int) -> Resources:
+        """Count a job that arrived at *now*; return its resource time."""
+        work = work_of(job)
+        self.recent.append((now, work))
+        return work
 
     def demand(self, now: int) -> Resources:
         """
@@ -42,6 +44,9 @@
         work = NO_RESOURCES
         for _at, job_work in self.recent:
             work = work.plus(job_work)
-        return Resources(
-            *(min(MAX_DEMAND, amount // WINDOW_MS) for amount in work)
-        )
+        return rate_of(work, WINDOW_MS)
+
+
+def rate_of(work: Resources, duration: int) -> Resources:
+    """Return the resources in use if *work* arrives in each *duration*, ms."""
+    return Resources(*(min(MAX_DEMAND, amount // duration) for amount in work))
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -9,7 +9,10 @@
 """
 
 import json
-from typing import Any, cast
+import random
+from collections.abc import Sequence
+from operator import attrgetter
+from typing import Any, NamedTuple, cast
 
 from cyclamenshift import settings
 from cyclamenshift.decisions.call_order import ReportTiming
@@ -119,6 +122,67 @@
     return Job(**(values | overrides))
 
 
+def uneven_job(numbers: random.Random) -> Job:
+    """Return a job with 1 to 5 steps of uneven size."""
+    return job(
+        steps=tuple(
+            step(
+                tasks=numbers.randint(1, 15),
+                estimate=numbers.randint(700, 1_800),
+            )
+            for _step in range(numbers.randint(1, 5))
+        )
+    )
+
+
+class Turn(NamedTuple):
+    """A peak of the demand of a service, ms."""
+
+    service: str
+    start: int
+    end: int
+
+
+class Arrival(NamedTuple):
+    """A job that arrives at a service, ms."""
+
+    at: int
+    service: str
+    job: Job
+
+
+def turns_of(
+    services: Sequence[str], rounds: int, length: int = 4_500
+) -> list[Turn]:
+    """Return turns of *services* that follow each other without a gap."""
+    return [
+        Turn(service, length * number, length * (number + 1))
+        for number, service in enumerate(rounds * list(services))
+    ]
+
+
+def arrivals_in_turns(
+    seed: int, turns: Sequence[Turn], rate: int = 20
+) -> list[Arrival]:
+    """
+    Return the jobs of services that have *rate* jobs a second in their turns.
+
+    Outside of them a service has an 80th of this rate.
+    """
+    numbers = random.Random(seed)
+    arrivals = []
+    for service in sorted({turn.service for turn in turns}):
+        own = [turn for turn in turns if turn.service == service]
+        at: float = 0
+        while at < turns[-1].end:
+            at += numbers.expovariate(rate / 1_000)
+            in_turn = any(turn.start <= at < turn.end for turn in own)
+            if in_turn or not numbers.randrange(80):
+                arrival = Arrival(round(at), service, uneven_job(numbers))
+                arrivals.append(arrival)
+    return sorted(arrivals, key=attrgetter('at'))
+
+
 def step_fields(**overrides: Any) -> dict[str, Any]:
     """Return the body of a step as the platform's callers send it."""
     values: dict[str, Any] = {'count': 2, 'cpu': 1_000, 'memMb': 1_024}
