Ask for the VMs of a peak before it, if overload.demand_forecast is on

The reports of a pool carry the demand of bursts and of the next peak in PoolReport.expected, and are sent when the forecast changes by itself. Changes of the cycle are logged, and forecasts that came or were missed are counted. With the setting off, the forecast is that of the 800 ms window as before.

--- a/cyclamenshift/loadmetrics.py
+++ b/cyclamenshift/loadmetrics.py
@@ -173,6 +173,11 @@
             'Jobs whose progress the store rejects, by service owned here.',
             'service',
         )
+        self.forecast_peaks = Counter(
+            'cyclamenshift_forecast_peaks_total',
+            'Forecast peaks of demand, by service and whether they came.',
+            registry=registry,
+        )
         self.owned_epochs = self._reading(
             'owned_epoch',
             'Epoch of each domain that this entry VM owns.',
--- a/cyclamenshift/scheduling/job_reader.py
+++ b/cyclamenshift/scheduling/job_reader.py
@@ -88,7 +88,7 @@
     def add(self, job: Job) -> None:
         """Add a job that has been stored."""
         if self._register(StoredJob(job, None)):
-            self.state.arrivals.add(job, self.clock.now())
+            self.state.demand.add(job)
             self.state.wake()
 
     def cancel(self, job_id: str) -> None:
--- a/cyclamenshift/scheduling/reporting.py
+++ b/cyclamenshift/scheduling/reporting.py
@@ -42,6 +42,7 @@
             last_report = report
             sent_at = state.clock.now()
             due_in = MAX_INTERVAL_MS
+        due_in = state.demand.time_until_change(due_in)
         changed = state.changed
         await state.clock.sleep(MIN_INTERVAL_MS)
         with state.clock.move_on_after(max(0, due_in - MIN_INTERVAL_MS)):
@@ -92,7 +93,7 @@
                 for group in groups
             ],
         ),
-        expected=state.arrivals.demand(state.clock.now()),
+        expected=state.demand.expected(),
         spread=max(
             (_min_workers(group[0].step) for group in groups),
             default=0,
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -12,7 +12,6 @@
 
 from ..clock import Clock
 from ..component import Host
-from ..decisions.arrivals import Arrivals
 from ..decisions.crashes import SETTLED_MS
 from ..decisions.evidence import (
     LeasesExpired,
@@ -30,6 +29,7 @@
 from ..settings import JobSettings
 from ..store import StoreClient, get_store_client
 from ..worker import Worker, WorkerClient, WorkerReport
+from .demand import DemandForecast
 from .order_window import OrderWindow
 from .ownership_check import OwnershipCheck
 from .recorder import Recorder
@@ -60,7 +60,7 @@
         self.run_log = RunLog(kernel.clock, self.log, term)
         self.client = kernel.get(WorkerClient)
         self.tracker = JobTracker()
-        self.arrivals = Arrivals()
+        self.demand = DemandForecast(kernel, self.log, self.service)
         self.recorder = Recorder(
             term,
             self.ownership.store,
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -82,6 +82,8 @@
         )
         self.platform = SharedPlatform()
         self.workers_started = 0
+        #: The settings of overload of the entry VMs that are started.
+        self.overload: dict[str, bool] = {}
 
     def add_workers(self, service: str, count: int, **overrides: Any) -> None:
         """Start *count* VMs with workers in the pool of *service*."""
@@ -186,7 +188,9 @@
         """Start an entry VM and return it as soon as it has started."""
         kernel.load_plugins()
         entry_kernel = kernel.build(
-            entry_settings(entry_id, entry={'work': 'jobs'}),
+            entry_settings(
+                entry_id, entry={'work': 'jobs'}, overload=self.overload
+            ),
             Clock(WALL_START + now_ms()),
             self._component_types(),
         )
