--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -12,7 +12,6 @@
 
 from ..clock import Clock
 from ..component import Host
-from ..decisions.arrivals import Arrivals
 from ..decisions.crashes import SETTLED_MS
 from ..decisions.evidence import (
     LeasesExpired,
@@ -31,6 +30,7 @@
 from ..settings import JobSettings
 from ..store import StoreClient, get_store_client
 from ..worker import Worker, WorkerClient, WorkerReport
+from .demand import DemandForecast
 from .order_window import OrderWindow
 from .ownership_check import OwnershipCheck
 from .recorder import Recorder
@@ -65,7 +65,9 @@
             if kernel.settings['overload']['learned_run_times']
             else None
         )
-        self.arrivals = Arrivals(self.tracker.run_times)
+        self.demand = DemandForecast(
+            kernel, self.log, self.service, self.tracker.run_times
+        )
         self.recorder = Recorder(
             term,
             self.ownership.store,
--- a/tests/test_learned_run_times.py
+++ b/tests/test_learned_run_times.py
@@ -219,7 +219,7 @@
     job_cluster.kill(owner)
     await job_cluster.wait_until(job_cluster.all_owned)
     successor = job_cluster.state(job_cluster.owner('desk'), 'desk')
-    assert successor.tracker.run_times is successor.arrivals.run_times
+    assert successor.tracker.run_times is successor.demand.arrivals.run_times
     assert successor.tracker.run_times
     assert not successor.tracker.run_times.pairs
     fields = lines(caplog, 'Job tables loaded.')
@@ -240,7 +240,7 @@
     await _run_jobs(job_cluster, 'first')
     state = job_cluster.state(job_cluster.owner('desk'), 'desk')
     assert state.tracker.learner is None
-    assert state.arrivals.run_times is None
+    assert state.demand.arrivals.run_times is None
     assert all(
         'run_times_known' not in each
         for each in lines(caplog, 'Job tables loaded.')
