Move VMs to the jobs that can be in time, and refuse what can't be served

With overload.pool_reallocation such VMs are drained and moved at once.

With overload.admission_control the owner of a service refuses new jobs with 429 once tasks have waited for longer than VMs take to arrive: those beyond the share of their account, and those that could not even end late. A refusal is stored in the place of the job, so that a write of it whose answer was lost can't take effect later. Callers return spread over the time of the backlog.

The platform's file switches the settings of overload on where its contracts list health.

--- a/cyclamenshift/controls/job_access.py
+++ b/cyclamenshift/controls/job_access.py
@@ -25,19 +25,22 @@
     CountQuery,
     JobCancelled,
     JobOffer,
+    JobRefused,
     JobStored,
     StateAnswer,
     StateQuery,
 )
-from ..jobrows import CancelRow, JobRow, cancel_key, job_key, job_row
+from ..jobrows import CancelRow, JobRow, cancel_key, job_row
 from ..peer import NoReply, Payload
 from ..plugin import register
 from ..queuehistory import QueueHistory
 from ..queuerows import is_reference, referenced_service
+from ..refusedjobs import is_refusal
 from ..rows import decode_row
 from ..store import ABSENT, Unavailable, get_store_client
 from .job_counts import StoredJobCounts
 from .job_places import JobPlaces, Place
+from .job_storing import store_job
 from .ownership import Ownership
 from .row_writer import NotWritten, Rival, RowWriter, Written
 
@@ -69,6 +72,13 @@
     reason: str
 
 
+class NotAdmitted(NamedTuple):
+    """The job was refused for lack of capacity and will not run."""
+
+    reason: str
+    retry_after: int
+
+
 class MaybeStored(NamedTuple):
     """The job may have been accepted; the caller should submit it again."""
 
@@ -87,9 +97,9 @@
 
 
 SubmitResult: TypeAlias = (
-    Stored | Different | NotStored | MaybeStored | Unstorable
+    Stored | Different | NotStored | NotAdmitted | MaybeStored | Unstorable
 )
-WriteResult: TypeAlias = Written | Rival | NotWritten | MaybeStored
+WriteResult: TypeAlias = Written | Rival | NotWritten | MaybeStored | JobRefused
 
 
 @register
@@ -252,13 +262,9 @@
         """
         offer = JobOffer(service, job)
         reply = await self.ownership.call_owner(service, offer, wait)
-        if isinstance(reply, Written | Rival | NotWritten):
+        if isinstance(reply, Written | Rival | NotWritten | JobRefused):
             return reply
-        result = await self.row_writer.write(
-            job_key(service, job.job_id),
-            ABSENT,
-            job_row(job),
-        )
+        result: WriteResult = await store_job(self.row_writer, service, job)
         if isinstance(result, Written):
             self.ownership.notify_owner(service, JobStored(service, job))
         elif isinstance(result, NotWritten) and _may_be_written(reply):
@@ -311,6 +317,8 @@
 def _rival(result: Rival, job: Job) -> SubmitResult:
     if is_reference(result.row):
         return MaybeStored('another service may have the job')
+    if is_refusal(result.row):
+        return MaybeStored('the job was refused and submitted at once')
     existing = decode_row(result.row, JobRow)['job']
     return Stored() if existing.same_as(job) else Different()
 
@@ -320,6 +328,11 @@
     return NotStored('the store can not be reached', SUBMIT_RETRY_AFTER_MS)
 
 
+@_submit_result.register
+def _refused(result: JobRefused, job: Job) -> SubmitResult:
+    return NotAdmitted(*result)
+
+
 @_submit_result.register
 def _uncertain(result: MaybeStored, job: Job) -> SubmitResult:
     return result
--- a/cyclamenshift/controls/job_counts.py
+++ b/cyclamenshift/controls/job_counts.py
@@ -12,7 +12,7 @@
 
 from ..clock import Clock
 from ..jobrows import JOB_TABLE, PROGRESS_TABLE, JobRow
-from ..queuerows import is_reference
+from ..refusedjobs import is_job
 from ..rows import decode_row
 from ..store import Snapshot, StoreClient, Unavailable
 
@@ -91,6 +91,6 @@
             return Counter(
                 decode_row(row, JobRow)['job'].queue
                 for row in jobs.rows
-                if row.key.name not in started and not is_reference(row)
+                if row.key.name not in started and is_job(row)
             )
         return Unavailable('The jobs could not be read.')
--- a/cyclamenshift/controls/job_places.py
+++ b/cyclamenshift/controls/job_places.py
@@ -19,6 +19,7 @@
 from ..progressrows import RecordedState
 from ..queuehistory import QueueHistory
 from ..queuerows import JobReference, is_reference, referenced_service
+from ..refusedjobs import is_job
 from ..rows import decode_row
 from ..store import ABSENT, Row, Unavailable, get_store_client
 from .row_writer import NotWritten, Rival, RowWriter, Written
@@ -121,7 +122,7 @@
     """Return the job of *queue* among pairs of job and progress rows."""
     pairs = zip(rows[::2], rows[1::2], strict=True)
     for job, progress in pairs:
-        if job.version == ABSENT or is_reference(job):
+        if job.version == ABSENT or not is_job(job):
             continue
         stored = decode_row(job, JobRow)['job']
         if stored.queue == queue.name:
--- a/cyclamenshift/decisions/accounts/shares.py
+++ b/cyclamenshift/decisions/accounts/shares.py
@@ -45,7 +45,7 @@
         self.counts: Counter[str] = Counter()
         self.buckets: dict[str, TokenBucket] = {}
 
-    def arrivals(self, now: int) -> Mapping[str, int]:
+    def arrivals(self, now: int) -> Counter[str]:
         """Return how many jobs of each account came in the last second."""
         while self.recent and self.recent[0][0] <= now - RATE_WINDOW_MS:
             _at, account = self.recent.popleft()
@@ -62,18 +62,25 @@
         Other services got *elsewhere* of its jobs in the last second.  The
         share is divided among the services as its jobs are.
         """
-        self.arrivals(now)
         self.recent.append((now, account.name))
         self.counts[account.name] += 1
-        here = self.counts[account.name]
+        tokens = self._tokens(account, elsewhere, now)
+        within = tokens >= 1
+        self.buckets[account.name] = TokenBucket(tokens - within, now)
+        return within
+
+    def has_room(self, account: Account, elsewhere: int, now: int) -> bool:
+        """Return whether a job of *account* would be within its share now."""
+        return self._tokens(account, elsewhere, now) >= 1
+
+    def _tokens(self, account: Account, elsewhere: int, now: int) -> float:
+        """Return how many jobs of *account* would be within its share."""
+        here = max(1, self.arrivals(now)[account.name])
         rate = account.weight * here / (here + elsewhere)
         burst = max(float(MIN_BURST), rate)
         bucket = self.buckets.get(account.name, TokenBucket(burst, now))
         earned = rate * (now - bucket.updated_at) / MS_PER_SECOND
-        tokens = min(burst, bucket.tokens + earned)
-        within = tokens >= 1
-        self.buckets[account.name] = TokenBucket(tokens - within, now)
-        return within
+        return min(burst, bucket.tokens + earned)
 
     def _drop_full_bucket(self, account: str) -> None:
         """Forget an account without recent jobs, whose bucket has refilled."""
--- a/cyclamenshift/decisions/lending.py
+++ b/cyclamenshift/decisions/lending.py
@@ -32,7 +32,9 @@
     those that its queued tasks ask for, ``expected`` the demand if jobs
     keep arriving at the current rate.  ``spread`` is the least number of
     VMs that its tasks need because of their limit per worker.  ``empty``
-    are the VMs that run nothing and may be given an order.
+    are the VMs that run nothing and may be given an order, ``draining`` those
+    that run short tasks only, the fewest first.  ``deferred`` is the part of
+    ``waiting`` of jobs that can't be in time any more.
     """
 
     service: str
@@ -43,6 +45,8 @@
     expected: Resources
     spread: int
     empty: frozenset[str]
+    draining: tuple[str, ...] = ()
+    deferred: Resources = NO_RESOURCES
 
 
 class ProposedMove(NamedTuple):
@@ -100,9 +104,9 @@
             name: _useful_vms(pool, unused[name]) for name, pool in lent.items()
         }
         excess = self._excess_vms(pools, required, now)
-        moves = _share_out(_lendable_vms(pools, excess), lent, required)
+        moves = share_out(_lendable_vms(pools, excess), lent, required)
         if not moves:
-            moves = _share_out(
+            moves = share_out(
                 [vm_id for vm_ids in unused.values() for vm_id in vm_ids],
                 {
                     name: pool
@@ -118,7 +122,7 @@
         pools: Mapping[str, PoolView],
         now: int,
     ) -> None:
-        empty = {vm_id for pool in pools.values() for vm_id in _empty_vms(pool)}
+        empty = {vm_id for pool in pools.values() for vm_id in empty_vms(pool)}
         self.empty_since = {
             vm_id: self.empty_since.get(vm_id, now) for vm_id in empty
         }
@@ -134,7 +138,7 @@
             return []
         unused = [
             vm_id
-            for vm_id in _empty_vms(pool)
+            for vm_id in empty_vms(pool)
             if now - self.empty_since[vm_id] >= UNUSED_DELAY_MS
         ]
         kept = max(HEADROOM_VMS, pool.spread + len(unused) - len(pool.vms))
@@ -155,11 +159,12 @@
                 continue
             since = self.excess_since.setdefault(name, now)
             if now - since >= RETURN_DELAY_MS:
-                excess[name] = _empty_vms(pools[name])[:excess_count]
+                excess[name] = empty_vms(pools[name])[:excess_count]
         return excess
 
 
-def _empty_vms(pool: PoolView) -> list[str]:
+def empty_vms(pool: PoolView) -> list[str]:
+    """Return the VMs of *pool* that run nothing and may be moved."""
     return [
         vm.vm_id
         for vm in pool.vms
@@ -186,14 +191,14 @@
         vm_id
         for pool in pools.values()
         if pool.spare
-        for vm_id in _empty_vms(pool)
+        for vm_id in empty_vms(pool)
     ]
     for vm_ids in excess.values():
         lendable.extend(vm_ids)
     return lendable
 
 
-def _share_out(
+def share_out(
     lendable: Iterable[str],
     pools: Mapping[str, PoolView],
     required: Mapping[str, int],
--- a/cyclamenshift/decisions/urgency.py
+++ b/cyclamenshift/decisions/urgency.py
@@ -6,7 +6,13 @@
 """
 
 import enum
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections.abc import (
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from typing import Final, NamedTuple
 
 from ..directory import NO_ACCOUNTS, Account
@@ -114,6 +120,17 @@
         yield from sorted(groups[step_id], key=_task_id)
 
 
+def late_groups(
+    groups: Iterable[Sequence[Task]], wall_time: int
+) -> list[Sequence[Task]]:
+    """Return the groups, each of one step, of jobs that can't be in time."""
+    return [
+        group
+        for group in groups
+        if urgency_of(group[0], wall_time).timeliness is not Timeliness.in_time
+    ]
+
+
 def _promote_latest(keyed: list[tuple[Urgency, StepId]]) -> None:
     """Put the step of the job first that is too late by the most."""
     hopeless = [
--- a/cyclamenshift/duties/scheduler.py
+++ b/cyclamenshift/duties/scheduler.py
@@ -5,32 +5,35 @@
 Runs the schedulers of the owned services and answers calls about jobs.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 
 from ..component import Dump, Host
 from ..controls.ownership import Ownership
+from ..controls.job_storing import store_job, store_refusal
 from ..controls.row_writer import NotWritten, Rival, RowWriter, Written
+from ..decisions.overload.admission_control import TurnedAway
 from ..directory import Catalog, Directory
 from ..duty import Duty, OwnershipTerm
 from ..fleetmessages import PoolReport, Vacate, Vacated
+from ..job import Job
 from ..jobmessages import (
     CountAnswer,
     CountQuery,
     JobCancelled,
     JobOffer,
+    JobRefused,
     JobStored,
     NotOwned,
     StateAnswer,
     StateQuery,
 )
-from ..jobrows import job_key, job_row
 from ..peer import Peer
 from ..plugin import register
 from ..queuehistory import QueueHistory
 from ..scheduling.details import JobDetail, detail_of
 from ..scheduling.order_window import OrderWindow
 from ..scheduling.service import ServiceScheduler
-from ..store import ABSENT
 from .fleet import FLEET_DOMAIN
 
 STATE_NOT_OWNED = StateAnswer(owned=False, queue='', state=None)
@@ -50,6 +53,8 @@
         self.queue_history = kernel.get(QueueHistory)
         self.order_window = OrderWindow(kernel.clock)
         self.schedulers: dict[str, ServiceScheduler] = {}
+        #: The jobs that are being stored, with the number of their offers.
+        self.storing: Counter[str] = Counter()
         peer = kernel.get(Peer)
         peer.add_listener(JobStored, self._on_job_stored)
         peer.add_listener(JobCancelled, self._on_job_cancelled)
@@ -136,20 +141,38 @@
         self,
         entry_id: str,
         offer: JobOffer,
-    ) -> Written | Rival | NotWritten | NotOwned:
+    ) -> Written | Rival | NotWritten | NotOwned | JobRefused:
         """Store a job and add it directly, without a notification."""
-        if self._loaded_scheduler(offer.service) is None:
+        scheduler = self._loaded_scheduler(offer.service)
+        if scheduler is None:
             return NotOwned()
-        result = await self.row_writer.write(
-            job_key(offer.service, offer.job.job_id),
-            ABSENT,
-            job_row(offer.job),
-        )
+        if offer.job.job_id not in self.storing:
+            admission = scheduler.admission.decide(offer.job)
+            if isinstance(admission, TurnedAway):
+                return await self._refuse(scheduler, offer.job, admission)
+        self.storing[offer.job.job_id] += 1
+        try:
+            result = await store_job(self.row_writer, offer.service, offer.job)
+        finally:
+            self.storing -= Counter((offer.job.job_id,))
         scheduler = self._loaded_scheduler(offer.service)
         if scheduler and isinstance(result, Written):
             scheduler.job_reader.add(offer.job)
         return result
 
+    async def _refuse(
+        self, scheduler: ServiceScheduler, job: Job, admission: TurnedAway
+    ) -> Written | Rival | NotWritten | JobRefused:
+        """Refuse a job once it is certain that no write of it takes effect."""
+        service = scheduler.state.service
+        result = await store_refusal(
+            self.row_writer, service, job, self.clock.wall_time()
+        )
+        if not isinstance(result, Written):
+            return result
+        scheduler.refused_jobs.add(job.job_id)
+        return JobRefused(*admission)
+
     async def _on_state_query(
         self,
         entry_id: str,
--- a/cyclamenshift/fleetmessages.py
+++ b/cyclamenshift/fleetmessages.py
@@ -7,7 +7,7 @@
 
 from typing import Final, NamedTuple
 
-from .job import Resources
+from .job import NO_RESOURCES, Resources
 from .peer import register_payload
 
 #: How long a VM that was found empty stays reserved for an order, ms, unless
@@ -38,7 +38,8 @@
     ``expected`` is what all tasks will use if jobs keep arriving at the
     current rate.
     ``spread`` is the number of VMs that the tasks need because only a few
-    of them may share a worker.
+    of them may share a worker.  ``deferred`` is the part of ``waiting`` of jobs
+    that can't be in time any more; earlier builds lack it.
     """
 
     service: str
@@ -47,6 +48,7 @@
     waiting: Resources
     expected: Resources
     spread: int = 0
+    deferred: Resources = NO_RESOURCES
 
 
 @register_payload
--- a/cyclamenshift/loadmetrics.py
+++ b/cyclamenshift/loadmetrics.py
@@ -16,6 +16,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
+from .admissionmetrics import AdmissionMetrics
+
 #: Upper bounds of the latency buckets, ms; an unbounded one follows.
 BUCKETS_MS: Final = (
     5.0,
@@ -177,6 +179,7 @@
             'Jobs whose progress the store rejects, by service owned here.',
             'service',
         )
+        self.admission = AdmissionMetrics(registry)
         self.run_time_ratio = Histogram(
             'cyclamenshift_run_time_ratio',
             'Run time of a step over the estimated or the predicted one.',
--- a/cyclamenshift/managing/manager.py
+++ b/cyclamenshift/managing/manager.py
@@ -14,6 +14,7 @@
 from ..controls.ownership import Ownership
 from ..decisions.lending import PoolBalancer
 from ..decisions.maintenance import is_complete, next_vms
+from ..decisions.overload.reallocation import Reallocator
 from ..directory import Maintenance
 from ..duty import OwnershipTerm
 from ..fleetmessages import RESERVATION_MS, PoolReport, Vacate, Vacated
@@ -41,7 +42,10 @@
         self.kernel = kernel
         self.clock = kernel.clock
         self.state = FleetState(kernel, term)
-        self.balancer = PoolBalancer()
+        overload = kernel.settings['overload']
+        self.balancer = (
+            Reallocator() if overload['pool_reallocation'] else PoolBalancer()
+        )
         self.ownership = kernel.get(Ownership)
         self.published: dict[int, JobState] = {}
 
--- a/cyclamenshift/managing/state.py
+++ b/cyclamenshift/managing/state.py
@@ -151,6 +151,7 @@
 
     def _pool_view(self, name: str, *, spare: bool) -> PoolView:
         report = self.reports.get(name, empty_report(name))
+        unavailable = self.unavailable()
         running = {load.vm_id for load in report.vms if load.runs}
         vms = [vm for vm in self.vms.values() if self._target_pool(vm) == name]
         return PoolView(
@@ -159,11 +160,13 @@
             vms=tuple(vms),
             used=total_resources([load.used for load in report.vms]),
             waiting=report.waiting,
+            deferred=report.deferred,
+            draining=_draining(report, unavailable),
             expected=report.expected,
             spread=report.spread,
             empty=frozenset(vm.vm_id for vm in vms if vm.phase is VmPhase.up)
             - running
-            - self.unavailable(),
+            - unavailable,
         )
 
     def _target_pool(self, vm: ProvidedVm) -> str:
@@ -171,6 +174,16 @@
         return self.changes.busy.get(vm.vm_id) or vm.pool
 
 
+def _draining(report: PoolReport, unavailable: set[str]) -> tuple[str, ...]:
+    """Return the VMs with short tasks only, those with the fewest first."""
+    loads = sorted(
+        (load.runs, load.vm_id)
+        for load in report.vms
+        if load.runs and not load.long_runs
+    )
+    return tuple(vm_id for _runs, vm_id in loads if vm_id not in unavailable)
+
+
 def empty_report(service: str) -> PoolReport:
     """Return the report assumed for a service that has not reported."""
     return PoolReport(service, 0, (), NO_RESOURCES, NO_RESOURCES)
--- a/cyclamenshift/platform/frontend.py
+++ b/cyclamenshift/platform/frontend.py
@@ -21,14 +21,8 @@
 from ..frontend import Frontend, read_body
 from ..plugin import register
 from .jobs import JobBody, decode_job, describe_problem
-from .responses import (
-    bad_request,
-    empty_response,
-    respond,
-    respond_to_cancel,
-    service_unavailable,
-    unauthorized,
-)
+from .refusals import bad_request, service_unavailable, unauthorized
+from .responses import empty_response, respond, respond_to_cancel
 from .wire import Unreadable, decode_json
 
 #: The format of job ids.
--- a/cyclamenshift/platform/settings.py
+++ b/cyclamenshift/platform/settings.py
@@ -48,6 +48,18 @@
 DEFAULT_STOP_MS: Final = 1_000
 #: The port of the operators' front end; deploy/system.toml repeats it.
 METRICS_PORT: Final = 9464
+#: The contract of deployments whose workers fail while they report good health,
+#: and whose demand is uneven.
+OVERLOAD_CONTRACT: Final = 'health'
+#: The settings of overload that it switches on.
+OVERLOAD_SETTINGS: Final = (
+    'learned_run_times',
+    'demand_forecast',
+    'worker_health',
+    'cost_ordering',
+    'pool_reallocation',
+    'admission_control',
+)
 #: The name of the adapter's plug-ins.
 PLUGIN_NAME: Final = 'platform'
 
@@ -107,6 +119,8 @@
         'listen': ListenSection,
         'limits': CpuSection,
         'bounds': BoundsSection,
+        # The parts of the platform's rules that are in force.
+        'contracts': NotRequired[list[str]],
         'platform': StoreSection,
         'cloud': ServiceSection,
     },
@@ -168,6 +182,10 @@
             'address': body['platform']['address'],
             'row_limit': body['platform'].get('rowBytes', DEFAULT_ROW_BYTES),
         },
+        'overload': dict.fromkeys(
+            OVERLOAD_SETTINGS,
+            OVERLOAD_CONTRACT in body.get('contracts', ()),
+        ),
         'jobs': {
             'plugin': PLUGIN_NAME,
             'lease': min(LEASE_MS, max_lease),
--- a/cyclamenshift/refusedjobs.py
+++ b/cyclamenshift/refusedjobs.py
@@ -7,6 +7,7 @@
 
 from typing import TypedDict
 
+from .queuerows import is_reference
 from .store import Row
 
 
@@ -21,6 +22,11 @@
     refused: int
 
 
+def is_job(row: Row) -> bool:
+    """Return whether a row of the job table holds a job."""
+    return not (is_reference(row) or is_refusal(row))
+
+
 def is_refusal(row: Row) -> bool:
     """Return whether a row of the job table stands for a refused job."""
     return 'refused' in row.fields
--- a/cyclamenshift/scheduling/account_limits.py
+++ b/cyclamenshift/scheduling/account_limits.py
@@ -83,6 +83,14 @@
         if not self.shares.add(account, elsewhere, self.clock.now()):
             self.beyond_share.add(job.job_id)
 
+    def is_within_share(self, name: str) -> bool:
+        """Return whether a job that comes now is within its account's share."""
+        account = self.accounts.get(name)
+        if account is None:
+            return True
+        elsewhere = self.allotments.elsewhere(name)
+        return self.shares.has_room(account, elsewhere, self.clock.now())
+
     def over_share(self, capacity: Resources) -> frozenset[str]:
         """Return the accounts that have more than their part of the pool."""
         if not self.accounts:
--- /dev/null
+++ b/cyclamenshift/scheduling/admission.py
@@ -0,0 +1,128 @@
+"""
+cyclamenshift.scheduling.admission
+==================================
+
+Admits or refuses the new jobs of one service, and measures these decisions.
+"""
+
+from collections import Counter, deque
+from typing import NamedTuple
+
+from ..component import Host
+from ..decisions.demands import group_by_step
+from ..decisions.lending import total_resources
+from ..decisions.overload.admission_control import (
+    Admission,
+    Admitted,
+    Backlog,
+    StepWaits,
+    TurnedAway,
+    backlog_of,
+    decide,
+    needs_of,
+)
+from ..decisions.progress import JobProgress
+from ..directory import Directory
+from ..job import Job
+from .account_limits import AccountLimits
+from .state import ServiceState
+
+
+class Refusal(NamedTuple):
+    """A refused job, and until when it should have ended, monotonic ms."""
+
+    job_id: str
+    due: int
+
+
+class JobAdmission:
+    """Decides about the jobs that are offered to the owner of a service."""
+
+    def __init__(
+        self, kernel: Host, state: ServiceState, account_limits: AccountLimits
+    ) -> None:
+        """Start without any refused job."""
+        self.is_active = kernel.settings['overload']['admission_control']
+        self.directory = kernel.get(Directory)
+        self.clock = kernel.clock
+        self.metrics = kernel.metrics.load.admission
+        self.state = state
+        self.account_limits = account_limits
+        self.waits = StepWaits()
+        self.refusals: deque[Refusal] = deque()
+        #: How many jobs were refused, by account.
+        self.refused: Counter[str] = Counter()
+
+    def decide(self, job: Job) -> Admission:
+        """
+        Return whether *job* is admitted.
+
+        One that is tracked was stored before, and is never refused.
+        """
+        catalog = self.directory.catalog
+        queue = catalog.queues.get(job.queue) if catalog else None
+        is_known = job.job_id in self.state.tracker.jobs
+        if not self.is_active or queue is None or is_known:
+            return Admitted()
+        if job.occurrences or any(step.long_running for step in job.steps):
+            return Admitted()
+        backlog = self.backlog()
+        self._check_refusals(backlog)
+        progress = JobProgress(job, queue, self.state.tracker.run_times)
+        needs = needs_of(
+            progress,
+            within_share=self.account_limits.is_within_share(job.account),
+        )
+        admission = decide(needs, backlog)
+        self._record(job, admission, backlog, needs.objective)
+        return admission
+
+    def backlog(self) -> Backlog:
+        """Return the work within the shares of accounts that waits now."""
+        beyond = self.account_limits.beyond_share
+        exhausted = self.account_limits.exhausted
+        tasks = [
+            task
+            for task in self.state.tracker.waiting.values()
+            if task.task_id.job_id not in beyond
+            and task.job.job.account not in exhausted
+            and not task.step.long_running
+        ]
+        groups = group_by_step(tasks)
+        waits = self.waits.update(groups, self.clock.now())
+        capacity = total_resources(
+            [
+                session.worker.resources
+                for session in self.state.sessions.values()
+                if not session.closed
+            ]
+        )
+        return backlog_of(groups, waits, capacity.cpu)
+
+    def _check_refusals(self, backlog: Backlog) -> None:
+        """Count the refused jobs whose time has come by whether they fitted."""
+        now = self.clock.now()
+        while self.refusals and self.refusals[0].due <= now:
+            self.refusals.popleft()
+            fitted = 'no' if backlog.is_short else 'yes'
+            self.metrics.refused.inc(
+                {'service': self.state.service, 'would_have_fitted': fitted}
+            )
+
+    def _record(
+        self, job: Job, admission: Admission, backlog: Backlog, objective: int
+    ) -> None:
+        if not isinstance(admission, TurnedAway):
+            return
+        self.refusals.append(Refusal(job.job_id, self.clock.now() + objective))
+        self.refused[job.account] += 1
+        self.state.log.note(
+            'Job refused.',
+            job=job.job_id,
+            queue=job.queue,
+            account=job.account,
+            reason=admission.reason,
+            retry_after=admission.retry_after,
+            drain_ms=backlog.drain_time,
+            oldest_wait_ms=backlog.oldest_wait,
+        )
--- a/cyclamenshift/scheduling/job_reader.py
+++ b/cyclamenshift/scheduling/job_reader.py
@@ -25,11 +25,12 @@
 )
 from ..progressrows import DividedRow, Piece, PieceRow, is_divided, piece_of
 from ..queuehistory import QueueHistory
-from ..queuerows import is_reference
+from ..refusedjobs import is_job, is_refusal
 from ..rows import RowType, decode_row
 from ..store import ABSENT, HistoryLost, Key, Row, Snapshot, Unavailable
 from .account_limits import AccountLimits
 from .ownership_check import RETRY_DELAY_MS
+from .refused_jobs import RefusedJobs
 from .state import ServiceState
 
 #: The tables that a scheduler must know before it starts a task.
@@ -55,15 +56,16 @@
     def __init__(
         self,
         state: ServiceState,
-        directory: Directory,
         account_limits: AccountLimits,
+        refused_jobs: RefusedJobs,
     ) -> None:
         """Create a reader that has read nothing yet."""
         self.state = state
         self.account_limits = account_limits
+        self.refused_jobs = refused_jobs
         self.clock = state.clock
         self.tracker = state.tracker
-        self.directory = directory
+        self.directory = state.kernel.get(Directory)
         self.queue_history = state.kernel.get(QueueHistory)
         self.loaded_tables: dict[str, Snapshot] = {}
         self.next_job_scan = 0
@@ -134,9 +136,9 @@
             row.key.name: row for row in self.loaded_tables[PROGRESS_TABLE].rows
         }
         piece_rows = _pieces_by_job(progress_rows.values())
-        for row in self.loaded_tables[JOB_TABLE].rows:
-            if is_reference(row):
-                continue
+        for refusal in filter(is_refusal, self.loaded_tables[JOB_TABLE].rows):
+            self.refused_jobs.restore(refusal)
+        for row in filter(is_job, self.loaded_tables[JOB_TABLE].rows):
             decoded = self._decode(row, JobRow)
             if decoded:
                 progress_row = progress_rows.get(row.key.name)
@@ -246,7 +248,7 @@
             self._forget(row.key)
         elif row.key.table == CANCEL_TABLE:
             self.cancel(row.key.name)
-        elif not is_reference(row):
+        elif is_job(row):
             decoded = self._decode(row, JobRow)
             if decoded:
                 self.add(decoded['job'])
--- a/cyclamenshift/scheduling/recorder.py
+++ b/cyclamenshift/scheduling/recorder.py
@@ -15,6 +15,7 @@
 from ..decisions.progress import JobProgress
 from ..decisions.tracker import JobTracker
 from ..duty import OwnershipTerm
+from ..job import JobState
 from ..jobrows import progress_key
 from ..logs import StructuredLogger
 from ..store import (
@@ -86,6 +87,7 @@
         self.tracker = tracker
         self.clock = kernel.clock
         self.metrics = kernel.metrics
+        self.admission_metrics = kernel.metrics.load.admission
         self.log = log
         self.limits = kernel.settings['store']
         self.row_limit = RowLimit(self.limits['row_limit'], store.size_of)
@@ -275,6 +277,14 @@
             },
             duration,
         )
+        if progress.state is JobState.completed:
+            in_time = duration <= progress.schedule.objective
+            self.admission_metrics.completed.inc(
+                {
+                    'service': self.term.domain,
+                    'in_time': 'yes' if in_time else 'no',
+                }
+            )
         self.log.note(
             'Job finished.',
             job=progress.job.job_id,
--- a/cyclamenshift/scheduling/reporting.py
+++ b/cyclamenshift/scheduling/reporting.py
@@ -5,12 +5,14 @@
 Reports the load and demand of a service's pool to the fleet manager.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
 from ..decisions.demands import group_by_step
 from ..decisions.lending import total_resources
+from ..decisions.progress import Task
 from ..decisions.tracker import reserved_resources
+from ..decisions.urgency import late_groups
 from ..fleetmessages import PoolReport, VmLoad
 from ..job import NO_RESOURCES, Resources, Step
 from .state import ServiceState
@@ -79,6 +81,8 @@
 def pool_report(state: ServiceState) -> PoolReport:
     """Build the current report of the pool."""
     groups = group_by_step(state.tracker.waiting.values()).values()
+    reallocates = state.kernel.settings['overload']['pool_reallocation']
+    late = late_groups(groups, state.clock.wall_time()) if reallocates else ()
     return PoolReport(
         service=state.service,
         epoch=state.term.epoch,
@@ -87,12 +91,8 @@
             for session in state.sessions.values()
             if session.registered
         ),
-        waiting=total_resources(
-            [
-                reserved_resources(group[0].step).times(len(group))
-                for group in groups
-            ],
-        ),
+        waiting=_resources_of(groups),
+        deferred=_resources_of(late),
         expected=state.demand.expected(),
         spread=max(
             (_min_workers(group[0].step) for group in groups),
@@ -101,6 +101,16 @@
     )
 
 
+def _resources_of(groups: Iterable[Sequence[Task]]) -> Resources:
+    """Return the resources that groups of tasks, each of one step, ask for."""
+    return total_resources(
+        [
+            reserved_resources(group[0].step).times(len(group))
+            for group in groups
+        ],
+    )
+
+
 def _min_workers(step: Step) -> int:
     """Return how many workers the tasks of *step* need at least."""
     return -(-step.tasks // step.worker_limit) if step.worker_limit else 0
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -18,11 +18,13 @@
 from ..fleetmessages import PoolReport
 from ..jobmessages import StateAnswer
 from .account_limits import AccountLimits
+from .admission import JobAdmission
 from .job_reader import JobReader
 from .lease_renewer import LeaseRenewer
 from .order_window import OrderWindow
 from .orders import settle_attempt, stop_attempt, stop_orphan
 from .placer import Placer
+from .refused_jobs import RefusedJobs
 from .reporting import report_pool
 from .state import ServiceState
 from .sweeper import Sweeper
@@ -64,8 +66,10 @@
         self.account_limits = AccountLimits(
             kernel, self.tracker, term, self.state.wake
         )
+        self.refused_jobs = RefusedJobs(self.state)
+        self.admission = JobAdmission(kernel, self.state, self.account_limits)
         self.job_reader = JobReader(
-            self.state, self.directory, self.account_limits
+            self.state, self.account_limits, self.refused_jobs
         )
         self.loaded = False
         self.renewed: dict[WorkerInstance, WorkerSession] = {}
@@ -166,6 +170,7 @@
         nursery.start_soon(Sweeper(self.state).run)
         nursery.start_soon(report_pool, self.state, self.report_to_manager)
         nursery.start_soon(self.account_limits.run)
+        nursery.start_soon(self.refused_jobs.run)
 
     async def _watch_workers(self, nursery: trio.Nursery) -> None:
         while True:
--- a/cyclamenshift/settings.py
+++ b/cyclamenshift/settings.py
@@ -128,6 +128,7 @@
     demand_forecast: bool
     worker_health: bool
     cost_ordering: bool
+    pool_reallocation: bool
     admission_control: bool
 
 
@@ -218,6 +219,7 @@
         'demand_forecast': False,
         'worker_health': False,
         'cost_ordering': False,
+        'pool_reallocation': False,
         'admission_control': False,
     },
 }
