Show what became of the jobs of each account

Metrics and `cyclamenshift accounts` show served, late, failed and refused jobs, waiting tasks and what runs against the limit, the worst served first. Tests of limits over all services: kill of the owner of a service, of the ledger, of both, late orders, a reduced limit, an unconfirmed configuration.

--- a/cyclamenshift/admissionmetrics.py
+++ b/cyclamenshift/admissionmetrics.py
@@ -2,14 +2,50 @@
 cyclamenshift.admissionmetrics
 ==============================
 
-How good the decisions to admit or refuse jobs were.
+How good the decisions to admit or refuse jobs were, and for which accounts.
 """
 
-from aioprometheus import Counter, Registry
+from collections.abc import Callable, Mapping
+from typing import Any, TypeAlias
+
+from aioprometheus import Counter, Gauge, Registry
+
+from .decisions.accounts.outcomes import AccountOutcomes, no_outcomes
+from .job import JobState
+
+#: The labels and the value of each series of a collector.
+Series: TypeAlias = list[tuple[dict[str, str], Any]]
+
+
+class AccountReading(Gauge):
+    """A gauge by account, whose values are computed when it is read."""
+
+    def __init__(
+        self,
+        name: str,
+        doc: str,
+        source: Callable[[], Mapping[str, int]],
+        registry: Registry,
+    ) -> None:
+        """Read the values from *source*."""
+        super().__init__(f'cyclamenshift_{name}', doc, registry=registry)
+        self.source = source
+
+    def get_all(self) -> Series:
+        """Return the current value of each account."""
+        return [
+            ({'account': account}, number)
+            for account, number in self.source().items()
+        ]
 
 
 class AdmissionMetrics:
-    """Counters of the jobs that were refused, and of those that completed."""
+    """
+    The jobs that were refused and that finished, at this entry VM.
+
+    ``accounts`` counts them by account, and ``running`` and ``waiting`` are
+    replaced by what knows the runs, millicores, and the tasks that wait.
+    """
 
     def __init__(self, registry: Registry) -> None:
         """Start at 0."""
@@ -23,3 +59,36 @@
             'Accepted jobs that completed, by service and whether in time.',
             registry=registry,
         )
+        self.accounts: AccountOutcomes = no_outcomes()
+        self.running = AccountReading(
+            'account_running_millicores',
+            'The cpu that the runs of an account have, at services owned here.',
+            dict,
+            registry,
+        )
+        self.waiting = AccountReading(
+            'account_waiting_tasks',
+            'Tasks of an account that wait, at services owned here.',
+            dict,
+            registry,
+        )
+        self.served = AccountReading(
+            'account_worst_served_percent',
+            'Jobs in time of the worst-served tenth of accounts, per cent.',
+            self.accounts.worst_served,
+            registry,
+        )
+
+    def record_end(
+        self, service: str, account: str, state: JobState, *, in_time: bool
+    ) -> None:
+        """Count a job that has finished in *state*."""
+        completed = state is JobState.completed
+        if completed:
+            self.completed.inc(
+                {'service': service, 'in_time': 'yes' if in_time else 'no'}
+            )
+        if account:
+            finished = self.accounts.in_time if in_time else self.accounts.late
+            counter = finished if completed else self.accounts.failed
+            counter[account] += 1
--- a/cyclamenshift/duties/accounts.py
+++ b/cyclamenshift/duties/accounts.py
@@ -11,7 +11,7 @@
 from ..component import Dump, Host
 from ..decisions.accounts.limits import LimitLedger
 from ..decisions.accounts.usage import limited
-from ..directory import Catalog, Directory
+from ..directory import Account, Catalog, Directory
 from ..duty import Duty, OwnershipTerm
 from ..jobmessages import NotOwned
 from ..peer import Peer
@@ -33,6 +33,7 @@
         super().__init__(kernel)
         self.directory = kernel.get(Directory)
         self.ledger: LimitLedger | None = None
+        self.outcomes = kernel.metrics.load.admission.accounts
         kernel.get(Peer).add_call_handler(UsageReport, self._on_usage_report)
 
     def domains(self, catalog: Catalog) -> Iterable[str]:
@@ -50,15 +51,30 @@
             self.ledger = None
 
     def dump(self) -> Dump:
-        """Return what is allotted, by account and service."""
-        if self.ledger is None:
+        """Return the accounts as known here, and as the ledger divides them."""
+        catalog = self.directory.catalog
+        if catalog is None:
             return {}
         return {
-            account: {
+            name: self._describe(account)
+            for name, account in catalog.accounts.items()
+        }
+
+    def _describe(self, account: Account) -> Dump:
+        name = account.name
+        scheduler = self.kernel.get(SchedulerDuty)
+        allotted = self.ledger.allotted.get(name, {}) if self.ledger else {}
+        return {
+            'limit': account.limit._asdict(),
+            'weight': account.weight,
+            'running_millicores': scheduler.account_cpu()[name],
+            'waiting_tasks': scheduler.account_tasks_waiting()[name],
+            'served_percent': self.outcomes.served_percent(name),
+            **self.outcomes.counts(name),
+            'allotted': {
                 service: amount._asdict()
-                for service, amount in by_service.items()
-            }
-            for account, by_service in self.ledger.allotted.items()
+                for service, amount in allotted.items()
+            },
         }
 
     async def _on_usage_report(
--- a/cyclamenshift/duties/scheduler.py
+++ b/cyclamenshift/duties/scheduler.py
@@ -66,6 +66,8 @@
         load.tasks_waiting.source = self.tasks_waiting
         load.orders_in_flight.source = self.orders_in_flight
         load.jobs_left_out.source = self.jobs_left_out
+        load.admission.running.source = self.account_cpu
+        load.admission.waiting.source = self.account_tasks_waiting
 
     def domains(self, catalog: Catalog) -> Iterable[str]:
         """Return the services that have queues, or have had some."""
@@ -119,6 +121,23 @@
             for service, scheduler in self.schedulers.items()
         }
 
+    def account_cpu(self) -> Counter[str]:
+        """Return the cpu of the runs of each account, millicores."""
+        cpu: Counter[str] = Counter()
+        for scheduler in self.schedulers.values():
+            used = scheduler.tracker.account_usages.used
+            cpu.update({name: amount.cpu for name, amount in used.items()})
+        return cpu
+
+    def account_tasks_waiting(self) -> Counter[str]:
+        """Return how many tasks of each account wait for a worker."""
+        return Counter(
+            task.job.job.account
+            for scheduler in self.schedulers.values()
+            for task in scheduler.tracker.waiting.values()
+            if task.job.job.account
+        )
+
     def detail_of(self, job_id: str) -> JobDetail | None:
         """Return the details of a job, None if it is not scheduled here."""
         for scheduler in self.schedulers.values():
--- a/cyclamenshift/scheduling/admission.py
+++ b/cyclamenshift/scheduling/admission.py
@@ -5,7 +5,7 @@
 Admits or refuses the new jobs of one service, and measures these decisions.
 """
 
-from collections import Counter, deque
+from collections import deque
 from typing import NamedTuple
 
 from ..component import Host
@@ -50,8 +50,6 @@
         self.account_limits = account_limits
         self.waits = StepWaits()
         self.refusals: deque[Refusal] = deque()
-        #: How many jobs were refused, by account.
-        self.refused: Counter[str] = Counter()
 
     def decide(self, job: Job) -> Admission:
         """
@@ -115,7 +113,8 @@
         if not isinstance(admission, TurnedAway):
             return
         self.refusals.append(Refusal(job.job_id, self.clock.now() + objective))
-        self.refused[job.account] += 1
+        if job.account:
+            self.metrics.accounts.refused[job.account] += 1
         self.state.log.note(
             'Job refused.',
             job=job.job_id,
--- a/cyclamenshift/scheduling/recorder.py
+++ b/cyclamenshift/scheduling/recorder.py
@@ -15,7 +15,6 @@
 from ..decisions.progress import JobProgress
 from ..decisions.tracker import JobTracker
 from ..duty import OwnershipTerm
-from ..job import JobState
 from ..jobrows import progress_key
 from ..logs import StructuredLogger
 from ..store import (
@@ -277,14 +276,12 @@
             },
             duration,
         )
-        if progress.state is JobState.completed:
-            in_time = duration <= progress.schedule.objective
-            self.admission_metrics.completed.inc(
-                {
-                    'service': self.term.domain,
-                    'in_time': 'yes' if in_time else 'no',
-                }
-            )
+        self.admission_metrics.record_end(
+            self.term.domain,
+            progress.job.account,
+            progress.state,
+            in_time=duration <= progress.schedule.objective,
+        )
         self.log.note(
             'Job finished.',
             job=progress.job.job_id,
--- /dev/null
+++ b/tests/test_account_cluster.py
@@ -0,0 +1,173 @@
+"""
+tests.test_account_cluster
+==========================
+
+The limits of accounts while owners, the ledger and workers fail.
+"""
+
+from typing import Final
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from cyclamenshift.clock import MS_PER_SECOND
+from cyclamenshift.directory import Account
+from cyclamenshift.job import Job, JobState, Resources
+from cyclamenshift.scheduling.account_limits import ACCOUNTS_DOMAIN
+
+from .builders import account, catalog, job, step
+from .standins.jobs import JobCluster
+
+#: The limit of the account; each task has 1,000 millicores.
+LIMIT: Final = 6_000
+TASKS: Final = 12
+
+
+def limited(limit: int = LIMIT) -> Account:
+    """Return the account with a limit of cpu."""
+    return account(limit=Resources(limit, 0))
+
+
+def set_limit(job_cluster: JobCluster, limit: int, version: int) -> None:
+    """Put a configuration with another limit in force."""
+    job_cluster.platform.catalog = catalog(
+        version=version, accounts={'account-1': limited(limit)}
+    )
+    job_cluster.platform.notify_change()
+
+
+class LimitWatch:
+    """Notes by how much the account exceeds its limit when a run starts."""
+
+    def __init__(self, job_cluster: JobCluster) -> None:
+        """Allow the first limit."""
+        self.cluster = job_cluster
+        self.limit = LIMIT
+        self.most = 0
+        self.exceeded: list[int] = []
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        before = 0
+        while True:
+            running = 1_000 * len(self.cluster.workers.running_tasks())
+            if running > before and running > self.limit:
+                self.exceeded.append(running)
+            self.most = max(self.most, running)
+            before = running
+            await trio.sleep(0.002)
+
+
+async def start(
+    job_cluster: JobCluster, nursery: trio.Nursery
+) -> tuple[LimitWatch, list[Job]]:
+    """Start services whose jobs together want more than the limit."""
+    set_limit(job_cluster, LIMIT, version=1)
+    for service in ('desk', 'billing'):
+        job_cluster.add_workers(service, 4)
+    entries = await job_cluster.start_all(4)
+    watch = LimitWatch(job_cluster)
+    nursery.start_soon(watch.run)
+    jobs = [
+        job(
+            f'job-{number}',
+            queue=('checks', 'charges')[number % 2],
+            account='account-1',
+            steps=(step(tasks=TASKS),),
+        )
+        for number in range(4)
+    ]
+    for submitted in jobs:
+        await job_cluster.submit(entries[0], submitted)
+    return watch, jobs
+
+
+def ledger_owner(job_cluster: JobCluster) -> str:
+    """Return the entry VM that keeps the ledger."""
+    return next(
+        entry_id
+        for entry_id, entry in job_cluster.entries.items()
+        if ACCOUNTS_DOMAIN in entry.ownership.terms
+    )
+
+
+async def test_limit_holds_over_all_services_and_is_used(
+    job_cluster: JobCluster, nursery: trio.Nursery, autojump_clock: MockClock
+) -> None:
+    """Each service kept to the limit, and both together exceeded it."""
+    watch, jobs = await start(job_cluster, nursery)
+    await job_cluster.wait_for_state(JobState.completed, *jobs)
+    assert not watch.exceeded
+    assert watch.most == LIMIT
+    nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('victim', ['desk', 'ledger', 'both'])
+async def test_limit_holds_while_owners_are_replaced(
+    job_cluster: JobCluster,
+    nursery: trio.Nursery,
+    autojump_clock: MockClock,
+    victim: str,
+) -> None:
+    """A successor did not know what ran, and started as much again."""
+    watch, jobs = await start(job_cluster, nursery)
+    await trio.sleep(0.3)
+    victims = {job_cluster.owner('desk'), ledger_owner(job_cluster)}
+    if victim == 'desk':
+        victims = {job_cluster.owner('desk')}
+    elif victim == 'ledger':
+        victims = {ledger_owner(job_cluster)}
+    for entry_id in victims:
+        job_cluster.kill(entry_id)
+    await job_cluster.wait_for_state(JobState.completed, *jobs)
+    assert not watch.exceeded
+    nursery.cancel_scope.cancel()
+
+
+async def test_reduced_limit_stops_starts_and_no_run(
+    job_cluster: JobCluster, nursery: trio.Nursery, autojump_clock: MockClock
+) -> None:
+    """Ends were replaced although more ran than the new limit."""
+    watch, jobs = await start(job_cluster, nursery)
+    await trio.sleep(0.7)
+    set_limit(job_cluster, 2_000, version=2)
+    await trio.sleep(0.05)
+    watch.limit = 2_000
+    await job_cluster.wait_for_state(JobState.completed, *jobs)
+    assert not watch.exceeded
+    stopped = [
+        end
+        for _at, _worker, end in job_cluster.workers.ends
+        if end.outcome == 'stopped'
+    ]
+    assert not stopped
+    nursery.cancel_scope.cancel()
+
+
+async def test_late_orders_count_against_the_limit(
+    job_cluster: JobCluster, nursery: trio.Nursery, autojump_clock: MockClock
+) -> None:
+    """Runs that a worker started late came on top of the limit."""
+    job_cluster.workers.late_order_delays.extend([300, 900, 2_000] * 2)
+    watch, jobs = await start(job_cluster, nursery)
+    await job_cluster.wait_for_state(JobState.completed, *jobs)
+    assert not watch.exceeded
+    nursery.cancel_scope.cancel()
+
+
+async def test_unconfirmed_configuration_starts_nothing_for_the_account(
+    job_cluster: JobCluster, nursery: trio.Nursery, autojump_clock: MockClock
+) -> None:
+    """A limit may have been reduced by a version that nobody has read."""
+    watch, jobs = await start(job_cluster, nursery)
+    settings = job_cluster.entries[job_cluster.owner('desk')].kernel.settings
+    job_cluster.platform.catalog_age = settings['jobs']['configuration_age'] + 1
+    await trio.sleep(0.1)
+    started = len(job_cluster.workers.started_runs)
+    await trio.sleep(2_000 / MS_PER_SECOND)
+    assert len(job_cluster.workers.started_runs) <= started
+    job_cluster.platform.catalog_age = 0
+    await job_cluster.wait_for_state(JobState.completed, *jobs)
+    assert not watch.exceeded
+    nursery.cancel_scope.cancel()
