--- a/tests/test_account_outcomes.py
+++ b/tests/test_account_outcomes.py
@@ -11,8 +11,9 @@
 from cyclamenshift.decisions.accounts.outcomes import no_outcomes
 from cyclamenshift.job import JobState, Resources
 
-from .builders import account, catalog, job, step
+from .builders import WALL_START, account, catalog, job, step
 from .standins.jobs import JobCluster
+from .standins.sim_worker import now_ms
 
 
 def test_worst_served_tenth_is_found() -> None:
@@ -34,7 +35,11 @@
     job_cluster.platform.catalog = catalog(accounts={limited.name: limited})
     job_cluster.add_workers('desk', 2)
     entries = await job_cluster.start_all(1)
-    submitted = job(account=limited.name, steps=(step(estimate=1_000),))
+    submitted = job(
+        account=limited.name,
+        steps=(step(estimate=1_000),),
+        accepted=WALL_START + now_ms(),
+    )
     await job_cluster.submit(entries[0], submitted)
     await job_cluster.wait_for_state(JobState.completed, submitted)
     dump = entries[0].kernel.dump()
