--- a/cyclamenshift/decisions/candidates.py
+++ b/cyclamenshift/decisions/candidates.py
@@ -5,25 +5,52 @@
 Ranks the workers that may get a task.
 """
 
-from collections.abc import Iterable
-from typing import NamedTuple
+from collections.abc import Callable, Collection, Iterable
+from typing import Final, NamedTuple, TypeAlias
 
 from ..job import Resources, Step
 from ..worker import Worker
+from .overload.worker_states import Rank
 from .progress import Task, WorkerInstance
 from .tracker import reserved_resources
 
 
+#: Returns the rack of a worker, empty if unknown.  Copies and long-running
+#: tasks are spread over racks only where it is given.
+RackOf: TypeAlias = Callable[[WorkerInstance], str]
+
+#: The free resources of a worker that gets no other task.
+NOTHING_FREE: Final = Resources(-1, -1, -1)
+
+
 class Candidate:
-    """A worker that accepts tasks, with its free resources."""
+    """
+    A worker that accepts tasks, with its free resources.
 
-    def __init__(self, worker: Worker, free: Resources) -> None:
+    A ``single`` one accepts one task at a time, because of its health.
+    """
+
+    def __init__(
+        self, worker: Worker, free: Resources, rank: Rank = Rank.healthy
+    ) -> None:
         """Create a candidate with *free* resources."""
         self.worker = worker
         self.free = free
+        self.rank = rank
+        self.single = rank in {Rank.probe, Rank.trial}
         #: Kept, because it is read for each task that is placed.
         self.instance: WorkerInstance = worker.instance
 
+    def accepts(self, task: Task) -> bool:
+        """Return whether a single candidate may get *task*."""
+        step = task.step
+        if step.gang or step.long_running or task.crashes.in_a_row:
+            return False
+        if self.rank is Rank.probe:
+            # It has all its attempts left.
+            return not task.failures
+        return self.instance not in task.failed_at
+
 
 class Placement(NamedTuple):
     """A task to start at a worker, as the run with this number."""
@@ -38,6 +65,8 @@
 
     other_rack: bool
     failed_there: bool
+    rank: Rank
+    shared_rack: bool
     free_cpu: int
     worker_id: str
     candidate: Candidate
@@ -45,23 +74,31 @@
 
 def reserve(task: Task, candidate: Candidate, number: int) -> Placement:
     """Place *task* at *candidate*."""
-    candidate.free = candidate.free.minus(reserved_resources(task.step))
+    candidate.free = (
+        NOTHING_FREE
+        if candidate.single
+        else candidate.free.minus(reserved_resources(task.step))
+    )
     return Placement(task, candidate.instance, number)
 
 
 def best_candidate(
     task: Task,
     candidates: Iterable[Candidate],
-    placements: Iterable[Placement],
+    placements: Collection[Placement],
+    rack_of: RackOf | None = None,
 ) -> Candidate | None:
     """Return the best candidate for *task*, beside other *placements*."""
     resources = reserved_resources(task.step)
     assigned = _tasks_by_worker(task, placements)
+    shared = _shared_rack(task, placements, rack_of) if rack_of else ''
     occupied = {attempt.instance for attempt in task.attempts.values()}
     ranked = [
         ScoredCandidate(
             _in_other_rack(task, candidate.worker),
             candidate.instance in task.failed_at,
+            candidate.rank,
+            bool(shared) and candidate.worker.rack == shared,
             candidate.free.cpu,
             candidate.worker.worker_id,
             candidate,
@@ -69,6 +106,7 @@
         for candidate in candidates
         if candidate.free.can_fit(resources)
         and candidate.instance not in occupied
+        and (not candidate.single or candidate.accepts(task))
         and _meets_constraints(
             task.step,
             candidate.worker,
@@ -111,3 +149,31 @@
 def _in_other_rack(task: Task, worker: Worker) -> bool:
     preferred = task.step.preferred_rack
     return bool(preferred) and preferred != worker.rack
+
+
+def _shared_rack(
+    task: Task, placements: Iterable[Placement], rack_of: RackOf
+) -> str:
+    """
+    Return the rack whose loss would end all that *task* is to back up.
+
+    That is the other run of a copy, or all others of a long-running step.
+    The tasks of other steps are not spread: all of them have to be done, so
+    that spread steps would have each loss of a rack delay more jobs.
+    """
+    step = task.step
+    instances = {attempt.instance for attempt in task.attempts.values()}
+    if not instances and step.long_running and not step.gang:
+        siblings = task.job.siblings(task)
+        instances = {
+            attempt.instance
+            for sibling in siblings
+            for attempt in sibling.attempts.values()
+        }
+        instances.update(
+            placement.instance
+            for placement in placements
+            if placement.task in siblings
+        )
+    racks = {rack_of(instance) for instance in instances}
+    return racks.pop() if len(racks) == 1 else ''
--- a/cyclamenshift/decisions/placement.py
+++ b/cyclamenshift/decisions/placement.py
@@ -6,11 +6,16 @@
 """
 
 from collections.abc import Collection, Iterable, Iterator, Mapping
-from itertools import chain
 from typing import NamedTuple
 
 from ..job import NO_RESOURCES, Resources, Step
-from .candidates import Candidate, Placement, best_candidate, reserve
+from .candidates import (
+    Candidate,
+    Placement,
+    RackOf,
+    best_candidate,
+    reserve,
+)
 from .demands import Demand, demand_of
 from .progress import Task, WorkerInstance
 from .tracker import reserved_resources
@@ -22,6 +27,7 @@
     resources: Resources
     required_label: str
     preferred_rack: str
+    long_running: bool
 
 
 def may_fit(
@@ -49,18 +55,21 @@
     candidates: Mapping[WorkerInstance, Candidate],
     limit: int,
     earlier: Collection[Placement] = (),
+    rack_of: RackOf | None = None,
 ) -> list[Placement]:
     """
     Return the placements of *tasks*, which are sorted by urgency.
 
-    *earlier* are those of other tasks that have not started yet.
+    *earlier* are those of other tasks that have not started yet.  With
+    *rack_of*, copies and long-running tasks are kept apart by rack if there
+    is room.
 
     Placement is best fit: a task gets the worker with the least free cpu
     that can hold it, in its preferred rack if possible.  A task that fits
     nowhere stays queued and does not block those after it.  Placement stops
     after *limit* tasks, but a gang is never split.
     """
-    placer = _Placer(candidates.values(), earlier)
+    placer = _Placer(candidates.values(), earlier, rack_of)
     skipped: set[Demand] = set()
     for task in tasks:
         if len(placer.placements) >= limit:
@@ -85,10 +94,13 @@
         self,
         candidates: Collection[Candidate],
         earlier: Collection[Placement],
+        rack_of: RackOf | None,
     ) -> None:
         """Place at *candidates*, beside the *earlier* placements."""
         self.candidates = candidates
         self.earlier = earlier
+        self.rack_of = rack_of
+        self.has_single = any(each.single for each in candidates)
         self.placements: list[Placement] = []
         self.last_kind: TaskKind | None = None
         self.last_candidate: Candidate | None = None
@@ -107,28 +119,44 @@
         if candidate is not None:
             placement = reserve(task, candidate, task.last_run + 1)
             self.placements.append(placement)
-        return candidate is not None
+        # A single candidate may accept another task that has not failed.
+        may_differ = self.has_single and bool(task.failures)
+        return candidate is not None or may_differ
 
     def _choose(self, task: Task) -> Candidate | None:
-        kind = _kind_of(task)
+        kind = self._kind_of(task)
         last = self.last_candidate
         if kind and kind == self.last_kind and last:
             if last.free.can_fit(kind.resources):
                 return last
         self.last_kind = kind
-        known = chain(self.earlier, self.placements)
-        self.last_candidate = best_candidate(task, self.candidates, known)
+        self.last_candidate = best_candidate(
+            task, self.candidates, self._known_for(task), self.rack_of
+        )
         return self.last_candidate
 
-
-def _kind_of(task: Task) -> TaskKind | None:
-    """Return the kind of *task*, None if its placement depends on more."""
-    step = task.step
-    if task.attempts or task.failed_at or step.worker_limit:
-        return None
-    return TaskKind(
-        reserved_resources(step), step.required_label, step.preferred_rack
-    )
+    def _known_for(self, task: Task) -> Collection[Placement]:
+        """Return the other placements if that of *task* depends on them."""
+        step = task.step
+        if not step.worker_limit and not step.long_running:
+            return ()
+        return (*self.earlier, *self.placements)
+
+    def _kind_of(self, task: Task) -> TaskKind | None:
+        """Return the kind of *task*, None if its placement depends on more."""
+        step = task.step
+        if task.attempts or task.failed_at or step.worker_limit:
+            return None
+        if task.failures or task.crashes.in_a_row:
+            return None
+        if step.long_running and self.rack_of:
+            return None
+        return TaskKind(
+            reserved_resources(step),
+            step.required_label,
+            step.preferred_rack,
+            step.long_running,
+        )
 
 
 def place_gang(
--- a/cyclamenshift/decisions/reports.py
+++ b/cyclamenshift/decisions/reports.py
@@ -27,6 +27,20 @@
 RECORDED_OUTCOMES: Final = frozenset((RunOutcome.done, RunOutcome.failed))
 
 
+class EndedRun(NamedTuple):
+    """
+    The end of a run that had an attempt.
+
+    ``run_time`` is by its worker's clock, ms, None if it is not known or if
+    the run may have resumed from a checkpoint.
+    """
+
+    task: Task
+    run: RunId
+    outcome: RunOutcome
+    run_time: int | None
+
+
 class ReportResult(NamedTuple):
     """
     The result of applying a worker's report.
@@ -35,7 +49,7 @@
     ``orphans`` are runs that the worker should not be running.  ``unlisted``
     are the attempts that were removed because the worker does not list them,
     ``adopted`` those of runs that had none, and ``untracked`` the ends of runs
-    without an attempt.
+    without an attempt.  ``ended`` are the other ends.
     """
 
     jobs: tuple[JobProgress, ...]
@@ -43,6 +57,7 @@
     unlisted: tuple[Attempt, ...] = ()
     adopted: tuple[Attempt, ...] = ()
     untracked: tuple[RunEnd, ...] = ()
+    ended: tuple[EndedRun, ...] = ()
 
 
 class ReportApplication:
@@ -65,6 +80,7 @@
         self.unlisted: list[Attempt] = []
         self.adopted: list[Attempt] = []
         self.untracked: list[RunEnd] = []
+        self.ended: list[EndedRun] = []
 
     def run(self) -> ReportResult:
         """Apply the ended and the running runs."""
@@ -85,6 +101,7 @@
             tuple(self.unlisted),
             tuple(self.adopted),
             tuple(self.untracked),
+            tuple(self.ended),
         )
 
     def _find_attempt(self, run: RunId) -> Attempt | None:
@@ -97,6 +114,7 @@
             return self._apply_untracked_end(end)
         task = attempt.task
         task.job.started = True
+        self.ended.append(self._ended_run(attempt, end))
         task.checkpoint = checkpoint_of(end, task)
         over = task.done or task.job.state.final
         counted = end.outcome in RECORDED_OUTCOMES and not over
@@ -108,6 +126,12 @@
         self.tracker.weigh(attempt, Ended(end.outcome))
         return [task.job] if counted else []
 
+    def _ended_run(self, attempt: Attempt, end: RunEnd) -> EndedRun:
+        task = attempt.task
+        resumed = task.step.saves_checkpoints and attempt.number > 1
+        run_time = None if resumed else attempt.run_time(self.report.clock)
+        return EndedRun(task, end.run, end.outcome, run_time)
+
     def _apply_untracked_end(self, end: RunEnd) -> list[JobProgress]:
         """
         Count the end of a run that has no attempt any more.
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -9,6 +9,7 @@
 """
 
 import json
+import random
 from typing import Any, cast
 
 from cyclamenshift import settings
@@ -18,6 +19,8 @@
 from cyclamenshift.decisions.leases import Lease
 from cyclamenshift.decisions.lending import PoolView
 from cyclamenshift.decisions.merging import Document
+from cyclamenshift.decisions.progress import JobProgress, Task
+from cyclamenshift.decisions.reports import EndedRun
 from cyclamenshift.directory import Catalog, Queue, Service
 from cyclamenshift.fleetmessages import PoolReport
 from cyclamenshift.http1 import Address
@@ -26,6 +29,7 @@
     Job,
     Resources,
     RunId,
+    RunOutcome,
     Step,
     TaskId,
 )
@@ -179,6 +183,49 @@
     return RunId(**(values | overrides))
 
 
+def open_tasks(job_id: str = 'job-1', **overrides: Any) -> list[Task]:
+    """Return the tasks of a new job with one step."""
+    steps = (step(**overrides),)
+    return JobProgress(job(job_id, steps=steps), queue()).open_step(0, 0)
+
+
+def ended_run(task: Task, outcome: RunOutcome, **overrides: Any) -> EndedRun:
+    """Return the end of the first run of *task*, after its usual time."""
+    values: dict[str, Any] = {
+        'task': task,
+        'run': RunId(task.task_id, 1),
+        'outcome': outcome,
+        'run_time': 1_000,
+    }
+    return EndedRun(**(values | overrides))
+
+
+def mixed_jobs(
+    count: int, random_source: random.Random
+) -> list[tuple[Job, dict[TaskId, int]]]:
+    """Return jobs like those of the uneven load, with their run times."""
+    jobs = []
+    for number in range(count):
+        steps = tuple(
+            step(
+                tasks=random_source.randint(2, 14),
+                estimate=1_000,
+                dependencies=tuple(range(max(0, each - 1), each)),
+            )
+            for each in range(random_source.randint(1, 3))
+        )
+        new_job = job(f'job-{number}', steps=steps)
+        run_ms = {
+            TaskId(new_job.job_id, 0, each, ordinal): random_source.randint(
+                700, 1_800
+            )
+            for each, one_step in enumerate(steps)
+            for ordinal in range(one_step.tasks)
+        }
+        jobs.append((new_job, run_ms))
+    return jobs
+
+
 def start_order(**overrides: Any) -> StartOrder:
     """Return the order to start the first run of a task."""
     values: dict[str, Any] = {
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -12,8 +12,10 @@
 import pytest
 
 from cyclamenshift.decisions.candidates import Candidate, Placement
+from cyclamenshift.decisions.overload.worker_states import Rank
 from cyclamenshift.decisions.placement import may_fit, place
 from cyclamenshift.decisions.progress import Attempt, JobProgress, Task
+from cyclamenshift.decisions.tracker import reserved_resources
 from cyclamenshift.job import Resources, Step
 
 from .builders import job, queue, step, worker
@@ -125,3 +127,109 @@
     for task in tasks:
         expected.extend(place([task], single, 1, expected))
     assert place(tasks, together, len(tasks)) == expected
+
+
+def ranked_candidates(
+    ranks: Sequence[Rank], racks: Sequence[str] = ()
+) -> dict[tuple[str, int], Candidate]:
+    """Return workers that hold two tasks, named w0 and so on."""
+    candidates = {}
+    for number, rank in enumerate(ranks):
+        rack = racks[number] if racks else 'rack-1'
+        ranked = worker(f'w{number}', resources=LARGE, rack=rack)
+        candidates[ranked.instance] = Candidate(ranked, LARGE, rank)
+    return candidates
+
+
+def workers_of(placements: Sequence[Placement]) -> list[str]:
+    """Return the id of the worker of each placement."""
+    return [placement.instance[0] for placement in placements]
+
+
+def test_workers_are_filled_by_rank() -> None:
+    """A suspected worker got as much work as a healthy one."""
+    candidates = ranked_candidates((Rank.suspected, Rank.healthy))
+    tasks = open_tasks((step(tasks=4),))
+    assert workers_of(place(tasks, candidates, 9)) == ['w1', 'w1', 'w0', 'w0']
+
+
+@pytest.mark.parametrize('rank', [Rank.probe, Rank.trial])
+def test_single_candidate_gets_one_task(rank: Rank) -> None:
+    """A worker that fails all would have used up an attempt of more tasks."""
+    candidates = ranked_candidates((rank,))
+    assert len(place(open_tasks((step(tasks=4),)), candidates, 9)) == 1
+    assert not place(open_tasks((step(gang=True),)), candidates, 9)
+    assert not place(open_tasks((step(long_running=True),)), candidates, 9)
+
+
+def test_probe_gets_a_task_that_has_not_failed() -> None:
+    """A task with few attempts left would be lost with the probe."""
+    failed, other = open_tasks((step(tasks=2),))
+    failed.failures = 1
+    candidates = ranked_candidates((Rank.probe,))
+    (placement,) = place([failed, other], candidates, 9)
+    assert placement.task is other
+
+
+def place_in_racks(tasks: Sequence[Task], racks: Sequence[str]) -> list[str]:
+    """Place *tasks* at one worker in each of *racks* and return these."""
+    candidates = ranked_candidates([Rank.healthy] * len(racks), racks)
+    placements = place(
+        tasks,
+        candidates,
+        9,
+        rack_of=lambda instance: racks[int(instance[0][1:])],
+    )
+    return [racks[int(name[1:])] for name in workers_of(placements)]
+
+
+def test_copy_goes_to_another_rack() -> None:
+    """A fault of the rack slowed down the run and its copy."""
+    (task,) = open_tasks((step(tasks=1, speculative=True),))
+    task.attempts[1] = Attempt(task, 1, worker('w0').instance, now=0)
+    racks = ('rack-1', 'rack-1', 'rack-2')
+    assert place_in_racks([task], racks) == ['rack-2']
+    assert place_in_racks([task], racks[:2]) == ['rack-1']
+
+
+@pytest.mark.parametrize('long_running', [True, False])
+def test_long_running_step_is_not_in_one_rack(long_running: bool) -> None:
+    """The loss of a rack ended all tasks of a service; others are packed."""
+    tasks = open_tasks((step(tasks=3, long_running=long_running),))
+    racks = place_in_racks(tasks, ('rack-1', 'rack-1', 'rack-2'))
+    assert ('rack-2' in racks) is long_running
+
+
+def best_fit(
+    task: Task, candidates: dict[tuple[str, int], Candidate]
+) -> list[str]:
+    """Return the worker that gets *task* by the rule for healthy workers."""
+    reserved = reserved_resources(task.step)
+    preferred, label = task.step.preferred_rack, task.step.required_label
+    ranked = [
+        (
+            bool(preferred) and candidate.worker.rack != preferred,
+            candidate.instance in task.failed_at,
+            candidate.free.cpu,
+            candidate.worker.worker_id,
+        )
+        for candidate in candidates.values()
+        if candidate.free.can_fit(reserved)
+        and (not label or label in candidate.worker.labels)
+    ]
+    return [min(ranked)[-1]] if ranked else []
+
+
+@pytest.mark.parametrize('seed', range(100))
+def test_healthy_workers_are_ranked_as_without_the_setting(seed: int) -> None:
+    """The ranks, and racks without a name, must not change a placement."""
+    random_source = random.Random(seed)
+    candidates = make_candidates(random_source.choices((SMALL, HUGE), k=6))
+    for candidate in candidates.values():
+        rack = random_source.choice(('', 'rack-1', 'rack-2'))
+        candidate.worker = candidate.worker._replace(rack=rack)
+    for task in open_tasks(random_steps(random_source)):
+        task.failed_at.add(random_source.choice(list(candidates)))
+        if not task.step.worker_limit:
+            expected = best_fit(task, candidates)
+            assert workers_of(place([task], candidates, 1)) == expected
