Let schedulers act on the health of workers

With overload.worker_health, off by default, the scheduler of a service feeds the ends of runs to WorkerHealth, ranks its candidates by it, logs each change with the evidence, and shows the ejected workers by service.

--- a/cyclamenshift/duties/scheduler.py
+++ b/cyclamenshift/duties/scheduler.py
@@ -61,6 +61,7 @@
         load.tasks_waiting.source = self.tasks_waiting
         load.orders_in_flight.source = self.orders_in_flight
         load.jobs_left_out.source = self.jobs_left_out
+        load.ejected_workers.source = self.ejected_workers
 
     def domains(self, catalog: Catalog) -> Iterable[str]:
         """Return the services that have queues, or have had some."""
@@ -114,6 +115,13 @@
             for service, scheduler in self.schedulers.items()
         }
 
+    def ejected_workers(self) -> dict[str, int]:
+        """Return how many workers are ejected, by service."""
+        return {
+            service: scheduler.state.health.ejected
+            for service, scheduler in self.schedulers.items()
+        }
+
     def detail_of(self, job_id: str) -> JobDetail | None:
         """Return the details of a job, None if it is not scheduled here."""
         for scheduler in self.schedulers.values():
--- a/cyclamenshift/loadmetrics.py
+++ b/cyclamenshift/loadmetrics.py
@@ -173,6 +173,11 @@
             'Jobs whose progress the store rejects, by service owned here.',
             'service',
         )
+        self.ejected_workers = self._reading(
+            'ejected_workers',
+            'Workers that get no runs but probes, by service owned here.',
+            'service',
+        )
         self.owned_epochs = self._reading(
             'owned_epoch',
             'Epoch of each domain that this entry VM owns.',
--- a/cyclamenshift/scheduling/job_reader.py
+++ b/cyclamenshift/scheduling/job_reader.py
@@ -113,7 +113,9 @@
         return len(self.loaded_tables) == len(LOADED_TABLES)
 
     async def _load_table(self, table: str) -> None:
-        scanned = await self.state.store.scan(table, self.state.service)
+        scanned = await self.state.ownership.store.scan(
+            table, self.state.service
+        )
         if isinstance(scanned, Snapshot):
             self.loaded_tables[table] = scanned
 
@@ -196,7 +198,7 @@
 
     async def _poll(self, table: str) -> None:
         version = self.versions[table]
-        changes = await self.state.store.follow(table, version, 0)
+        changes = await self.state.ownership.store.follow(table, version, 0)
         if isinstance(changes, HistoryLost):
             changes = await self._rescan(table)
         if isinstance(changes, Snapshot):
@@ -207,7 +209,7 @@
         """Scan *table*, but that of the jobs, which is large, less often."""
         if table == JOB_TABLE:
             return await self._rescan_jobs()
-        return await self.state.store.scan(table, self.state.service)
+        return await self.state.ownership.store.scan(table, self.state.service)
 
     async def _rescan_jobs(self) -> Snapshot | Unavailable:
         """
@@ -220,7 +222,9 @@
             return Unavailable('scanned a short time ago')
         self.next_job_scan = self.clock.now() + MIN_SCAN_INTERVAL_MS
         known = set(self.tracker.jobs)
-        scanned = await self.state.store.scan(JOB_TABLE, self.state.service)
+        scanned = await self.state.ownership.store.scan(
+            JOB_TABLE, self.state.service
+        )
         if isinstance(scanned, Unavailable):
             return scanned
         unknown = (row for row in scanned.rows if row.key.name not in known)
--- a/cyclamenshift/scheduling/placer.py
+++ b/cyclamenshift/scheduling/placer.py
@@ -13,6 +13,7 @@
 from ..decisions.candidates import Candidate, Placement
 from ..decisions.copies import SlowRun, slow_runs
 from ..decisions.isolation import IsolationWaits
+from ..decisions.overload.worker_states import Rank
 from ..decisions.placement import may_fit, place
 from ..decisions.progress import Task, WorkerInstance
 from ..decisions.urgency import most_urgent_first
@@ -50,7 +51,13 @@
             return
         candidates = self._candidates(now)
         suspects = Suspects(self.state, self.isolation_waits, now)
+        single = _take_single(candidates)
         self._start(suspects.place(candidates))
+        candidates.update(
+            (instance, candidate)
+            for instance, candidate in single.items()
+            if instance not in suspects.probation
+        )
         self._place_most_urgent(suspects.others, candidates)
         if self.state.order_window.free(self.state.service):
             self._log_capacity_shortage(candidates)
@@ -71,7 +78,12 @@
             self.clock.wall_time(),
         )
         free = self.state.order_window.free(self.state.service)
-        placements = place(urgent, candidates, free)
+        placements = place(
+            urgent,
+            candidates,
+            free,
+            rack_of=self._rack_of if self.state.health.enabled else None,
+        )
         self._start(placements)
         return placements
 
@@ -83,6 +95,7 @@
                 placement.number,
                 self.clock.now(),
             )
+            self.state.health.record_start(attempt)
             session = self.state.sessions[placement.instance]
             starter = RunStarter(self.state, session, attempt)
             self.state.order_window.enter(self.state.service)
@@ -149,7 +162,31 @@
                 session.worker.resources.minus(
                     self.tracker.used.get(instance, NO_RESOURCES)
                 ),
+                rank,
             )
             for instance, session in self.state.sessions.items()
             if session.usable(now)
+            and (rank := self._rank(instance)) is not Rank.unavailable
         }
+
+    def _rank(self, instance: WorkerInstance) -> Rank:
+        attempts = self.tracker.attempts_by_worker.get(instance, {})
+        return self.state.health.rank(instance, attempts)
+
+    def _rack_of(self, instance: WorkerInstance) -> str:
+        session = self.state.sessions.get(instance)
+        return session.worker.rack if session else ''
+
+
+def _take_single(
+    candidates: dict[WorkerInstance, Candidate],
+) -> dict[WorkerInstance, Candidate]:
+    """Remove and return the candidates that get no suspects."""
+    single = {
+        instance: candidate
+        for instance, candidate in candidates.items()
+        if candidate.single
+    }
+    for instance in single:
+        candidates.pop(instance)
+    return single
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -171,6 +171,8 @@
         for worker in registered.values():
             self.state.session_for(worker)
         self.state.drop_unregistered()
+        self.state.health.retain(self.state.sessions)
+        self.state.health.check_running(self.tracker)
         self._start_renewers(nursery)
         self.state.wake()
 
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -26,10 +26,11 @@
 from ..directory import Directory
 from ..duty import OwnershipTerm
 from ..job import RunId
-from ..logs import get_logger
+from ..logs import StructuredLogger, get_logger
 from ..settings import JobSettings
-from ..store import StoreClient, get_store_client
+from ..store import get_store_client
 from ..worker import Worker, WorkerClient, WorkerReport
+from .health_monitor import HealthMonitor
 from .order_window import OrderWindow
 from .ownership_check import OwnershipCheck
 from .recorder import Recorder
@@ -56,9 +57,14 @@
         self.ownership = OwnershipCheck(
             kernel.clock, get_store_client(kernel), term
         )
-        self.log = get_logger(f'scheduler.{self.service}')
-        self.run_log = RunLog(kernel.clock, self.log, term)
+        log = get_logger(f'scheduler.{self.service}')
+        self.run_log = RunLog(kernel.clock, log, term)
         self.client = kernel.get(WorkerClient)
+        self.health = HealthMonitor(
+            kernel.clock,
+            log,
+            enabled=kernel.settings['overload']['worker_health'],
+        )
         self.tracker = JobTracker()
         self.arrivals = Arrivals()
         self.recorder = Recorder(
@@ -66,7 +72,7 @@
             self.ownership.store,
             self.tracker,
             kernel,
-            self.log,
+            log,
         )
         self.sessions: dict[WorkerInstance, WorkerSession] = {}
         self.orphans: dict[WorkerInstance, set[RunId]] = {}
@@ -101,9 +107,9 @@
         return self.kernel.settings['jobs']
 
     @property
-    def store(self) -> StoreClient:
-        """The client of the store."""
-        return self.ownership.store
+    def log(self) -> StructuredLogger:
+        """The log of the scheduler of this service."""
+        return self.run_log.log
 
     @property
     def knows_workers(self) -> bool:
@@ -172,6 +178,7 @@
                 {'service': self.service, 'how': str(end.outcome)},
             )
         self.run_log.record_report(session, new_report, report_result)
+        self.health.record_ends(session.worker.instance, report_result.ended)
         if report_result.orphans:
             orphans = self.orphans.setdefault(session.worker.instance, set())
             orphans.update(report_result.orphans)
--- a/cyclamenshift/scheduling/sweeper.py
+++ b/cyclamenshift/scheduling/sweeper.py
@@ -73,7 +73,7 @@
             for job_id in job_ids
             for key_of in (job_key, progress_key, cancel_key)
         ]
-        result = await self.state.store.commit(
+        result = await self.state.ownership.store.commit(
             Transaction(
                 (term.check(),),
                 tuple(Write(key, None) for key in keys),
@@ -99,7 +99,7 @@
         fails is made again.  Returns whether none of the references is left.
         """
         keys = list(filter(None, map(self._reference_key, job_ids)))
-        rows = await self.state.store.read(keys) if keys else []
+        rows = await self.state.ownership.store.read(keys) if keys else []
         if isinstance(rows, Unavailable):
             return False
         references = filter(is_reference, rows)
@@ -122,7 +122,7 @@
             return True
         deletions = tuple(Write(key, None) for key in keys)
         term = self.state.term
-        result = await self.state.store.commit(
+        result = await self.state.ownership.store.commit(
             Transaction((term.check(),), deletions)
         )
         if isinstance(result, Committed):
@@ -134,7 +134,7 @@
         deletion = Transaction(
             (Check(row.key, row.version),), (Write(row.key, None),)
         )
-        result = await self.state.store.commit(deletion)
+        result = await self.state.ownership.store.commit(deletion)
         return isinstance(result, Committed)
 
     def _reference_key(self, job_id: str) -> Key | None:
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -71,7 +71,11 @@
 
 
 class JobCluster(EntryGroup[JobEntry]):
-    """Entry VMs that serve jobs and share a store, a platform and workers."""
+    """
+    Entry VMs that serve jobs and share a store, a platform and workers.
+
+    ``overload`` has the settings of that section at all entry VMs.
+    """
 
     def __init__(self, nursery: trio.Nursery) -> None:
         """Start without entry VMs and without workers."""
@@ -81,6 +85,7 @@
             self.crash_and_restart, crashed
         )
         self.platform = SharedPlatform()
+        self.overload: dict[str, bool] = {}
         self.workers_started = 0
 
     def add_workers(self, service: str, count: int, **overrides: Any) -> None:
@@ -186,7 +191,9 @@
         """Start an entry VM and return it as soon as it has started."""
         kernel.load_plugins()
         entry_kernel = kernel.build(
-            entry_settings(entry_id, entry={'work': 'jobs'}),
+            entry_settings(
+                entry_id, entry={'work': 'jobs'}, overload=self.overload
+            ),
             Clock(WALL_START + now_ms()),
             self._component_types(),
         )
