--- a/cyclamenshift/commands/jobs.py
+++ b/cyclamenshift/commands/jobs.py
@@ -11,8 +11,8 @@
 from collections.abc import Iterator
 from typing import Any, cast
 
-from ..component import Dump
 from ..command import Command, Report, call
+from ..component import Dump
 from ..plugin import register
 
 
--- a/cyclamenshift/controls/dispatcher.py
+++ b/cyclamenshift/controls/dispatcher.py
@@ -18,9 +18,9 @@
 from ..endpoint import Endpoint
 from ..forwarding import (
     Forward,
+    decode_request,
     encode_outcome,
     forward_to_owner,
-    decode_request,
 )
 from ..model import (
     Done,
--- a/cyclamenshift/controls/store_access.py
+++ b/cyclamenshift/controls/store_access.py
@@ -18,7 +18,7 @@
 
 from ..component import Dump, Host
 from ..control import Control
-from ..peer import Payload, ChangeReporter, NoReply, Peer, Reporter
+from ..peer import ChangeReporter, NoReply, Payload, Peer, Reporter
 from ..plugin import register
 from ..rows import HEAD_KEY
 from ..store import (
--- a/cyclamenshift/decisions/placement.py
+++ b/cyclamenshift/decisions/placement.py
@@ -6,46 +6,45 @@
 """
 
 from collections.abc import Collection, Iterable, Iterator, Mapping
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from ..job import NO_RESOURCES, Resources, Step
-from ..worker import Worker
 from .accounts.allotments import NO_LIMITS, StartBudget
+from .candidates import (
+    Candidate,
+    Placement,
+    RackOf,
+    best_candidate,
+    reserve,
+)
 from .demands import Demand, demand_of
 from .progress import Task, WorkerInstance
 from .tracker import reserved_resources
 
 
-class Candidate:
-    """A worker that accepts tasks, with its free resources."""
-
-    def __init__(self, worker: Worker, free: Resources) -> None:
-        """Create a candidate with *free* resources."""
-        self.worker = worker
-        self.free = free
+class PlacementRules(NamedTuple):
+    """
+    What bounds placements besides the room at the workers.
 
-    @property
-    def instance(self) -> WorkerInstance:
-        """The id and the start time of the worker process."""
-        return self.worker.instance
+    ``budget`` tells what may start for the accounts with a limit.  With
+    ``rack_of``, copies and long-running tasks are kept apart by rack if there
+    is room.
+    """
 
+    budget: StartBudget = NO_LIMITS
+    rack_of: RackOf | None = None
 
-class Placement(NamedTuple):
-    """A task to start at a worker, as the run with this number."""
 
-    task: Task
-    instance: WorkerInstance
-    number: int
+NO_RULES: Final = PlacementRules()
 
 
-class ScoredCandidate(NamedTuple):
-    """The sort key of a candidate for one task; the lowest is chosen."""
+class TaskKind(NamedTuple):
+    """What decides which candidate is the best for a task."""
 
-    other_rack: bool
-    failed_there: bool
-    free_cpu: int
-    worker_id: str
-    candidate: Candidate
+    resources: Resources
+    required_label: str
+    preferred_rack: str
+    long_running: bool
 
 
 def may_fit(
@@ -73,51 +72,109 @@
     candidates: Mapping[WorkerInstance, Candidate],
     limit: int,
     earlier: Collection[Placement] = (),
-    budget: StartBudget = NO_LIMITS,
+    rules: PlacementRules = NO_RULES,
 ) -> list[Placement]:
     """
     Return the placements of *tasks*, which are sorted by urgency.
 
-    *earlier* are those of other tasks that have not started yet.  *budget*
-    tells what may start for the accounts with a limit.
+    *earlier* are those of other tasks that have not started yet.
 
     Placement is best fit: a task gets the worker with the least free cpu
     that can hold it, in its preferred rack if possible.  A task that fits
     nowhere stays queued and does not block those after it.  Placement stops
     after *limit* tasks, but a gang is never split.
     """
-    placements: list[Placement] = []
+    placer = _Placer(candidates.values(), earlier, rules.rack_of)
     skipped: set[Demand] = set()
-    for task in budget.select(tasks):
-        if len(placements) >= limit:
+    for task in rules.budget.select(tasks):
+        if len(placer.placements) >= limit:
             break
-        if demand_of(task) in skipped:
-            continue
-        known = (*earlier, *placements)
-        added = _place_task(task, candidates.values(), known)
-        placements.extend(added)
-        budget.spend(placement.task for placement in added)
-        skipped.update(_settled_demands(task, added))
-    return placements
+        demand = demand_of(task)
+        placed = len(placer.placements)
+        if demand not in skipped and not placer.place(task):
+            skipped.add(demand)
+        added = placer.placements[placed:]
+        rules.budget.spend(placement.task for placement in added)
+    return placer.placements
 
 
-def _place_task(
-    task: Task,
-    candidates: Collection[Candidate],
-    earlier: Iterable[Placement],
-) -> list[Placement]:
-    if task.step.gang:
-        return place_gang(task, candidates)
-    return _place_all((task,), candidates, task.last_run + 1, earlier)
+class _Placer:
+    """
+    Places the tasks of one call of ``place``.
 
+    The candidate of the last task stays the best one for an equal task while
+    it can hold it: no other has changed, and it has become fuller.  So the
+    candidates are ranked once for each worker that equal tasks fill, instead
+    of once for each task.
+    """
 
-def _settled_demands(
-    task: Task,
-    added: Collection[Placement],
-) -> Collection[Demand]:
-    """Return the demand of *task* if no further task with it can start."""
-    settled = task.step.gang or not added
-    return (demand_of(task),) if settled else ()
+    def __init__(
+        self,
+        candidates: Collection[Candidate],
+        earlier: Collection[Placement],
+        rack_of: RackOf | None,
+    ) -> None:
+        """Place at *candidates*, beside the *earlier* placements."""
+        self.candidates = candidates
+        self.earlier = earlier
+        self.rack_of = rack_of
+        self.has_single = any(each.single for each in candidates)
+        self.placements: list[Placement] = []
+        self.last_kind: TaskKind | None = None
+        self.last_candidate: Candidate | None = None
+
+    def place(self, task: Task) -> bool:
+        """
+        Place *task*, or the gang that it is of.
+
+        Returns whether another task with its demand may start.
+        """
+        if task.step.gang:
+            self.last_kind = None
+            self.placements.extend(place_gang(task, self.candidates))
+            return False
+        candidate = self._choose(task)
+        if candidate is not None:
+            placement = reserve(task, candidate, task.last_run + 1)
+            self.placements.append(placement)
+        # A single candidate may accept another task that has not failed.
+        may_differ = self.has_single and bool(task.failures)
+        return candidate is not None or may_differ
+
+    def _choose(self, task: Task) -> Candidate | None:
+        kind = self._kind_of(task)
+        last = self.last_candidate
+        if kind and kind == self.last_kind and last:
+            if last.free.can_fit(kind.resources):
+                return last
+        self.last_kind = kind
+        self.last_candidate = best_candidate(
+            task, self.candidates, self._known_for(task), self.rack_of
+        )
+        return self.last_candidate
+
+    def _known_for(self, task: Task) -> Collection[Placement]:
+        """Return the other placements if that of *task* depends on them."""
+        step = task.step
+        if not step.worker_limit and not step.long_running:
+            return ()
+        return (*self.earlier, *self.placements)
+
+    def _kind_of(self, task: Task) -> TaskKind | None:
+        """Return the kind of *task*, None if its placement depends on more."""
+        step = task.step
+        if task.attempts or task.failed_at or step.worker_limit:
+            return None
+        if task.failures or task.crashes.in_a_row:
+            return None
+        if step.long_running and self.rack_of:
+            return None
+        return TaskKind(
+            reserved_resources(step),
+            step.required_label,
+            step.preferred_rack,
+            step.long_running,
+        )
 
 
 def place_gang(
@@ -163,91 +220,15 @@
     members: Iterable[Task],
     candidates: Collection[Candidate],
     number: int,
-    earlier: Iterable[Placement] = (),
 ) -> list[Placement]:
     """Place every member, or restore the free resources."""
     saved_free = [(candidate, candidate.free) for candidate in candidates]
     placements: list[Placement] = []
     for member in members:
-        candidate = _best_candidate(member, candidates, (*earlier, *placements))
+        candidate = best_candidate(member, candidates, placements)
         if candidate is None:
             for each, free in saved_free:
                 each.free = free
             return []
-        placements.append(_reserve(member, candidate, number))
+        placements.append(reserve(member, candidate, number))
     return placements
-
-
-def _reserve(task: Task, candidate: Candidate, number: int) -> Placement:
-    candidate.free = candidate.free.minus(reserved_resources(task.step))
-    return Placement(task, candidate.instance, number)
-
-
-def _best_candidate(
-    task: Task,
-    candidates: Iterable[Candidate],
-    placements: Iterable[Placement],
-) -> Candidate | None:
-    resources = reserved_resources(task.step)
-    assigned = _tasks_by_worker(task, placements)
-    ranked = [
-        ScoredCandidate(
-            other_rack=_in_other_rack(task, candidate.worker),
-            failed_there=candidate.instance in task.failed_at,
-            free_cpu=candidate.free.cpu,
-            worker_id=candidate.worker.worker_id,
-            candidate=candidate,
-        )
-        for candidate in candidates
-        if candidate.free.can_fit(resources)
-        and not _runs_at(task, candidate.instance)
-        and _meets_constraints(
-            task,
-            candidate.worker,
-            assigned.get(candidate.instance, 0),
-        )
-    ]
-    return min(ranked)[-1] if ranked else None
-
-
-def _tasks_by_worker(
-    task: Task,
-    placements: Iterable[Placement],
-) -> dict[WorkerInstance, int]:
-    """Count the tasks of the step at each worker, placed ones included."""
-    if not task.step.worker_limit:
-        return {}
-    siblings = task.job.siblings(task)
-    instances = [
-        attempt.instance
-        for sibling in siblings
-        for attempt in sibling.attempts.values()
-    ]
-    instances.extend(
-        placement.instance
-        for placement in placements
-        if placement.task in siblings
-    )
-    counts: dict[WorkerInstance, int] = {}
-    for instance in instances:
-        counts[instance] = counts.get(instance, 0) + 1
-    return counts
-
-
-def _runs_at(task: Task, instance: WorkerInstance) -> bool:
-    """Return whether another run of the task is at this worker."""
-    return any(
-        attempt.instance == instance for attempt in task.attempts.values()
-    )
-
-
-def _meets_constraints(task: Task, worker: Worker, assigned: int) -> bool:
-    step = task.step
-    if step.required_label and step.required_label not in worker.labels:
-        return False
-    return not step.worker_limit or assigned < step.worker_limit
-
-
-def _in_other_rack(task: Task, worker: Worker) -> bool:
-    preferred = task.step.preferred_rack
-    return bool(preferred) and preferred != worker.rack
--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -34,7 +34,6 @@
 from .records import restore
 from .verdicts import Verdict, judge
 
-
 #: The phases before the answer to a start.  The answer tells whether the run
 #: was there: a start sent after a crash is refused by the replacement.
 UNANSWERED_PHASES: Final = frozenset((Phase.planned, Phase.ordered))
--- a/cyclamenshift/decisions/verdicts.py
+++ b/cyclamenshift/decisions/verdicts.py
@@ -26,7 +26,6 @@
 )
 from .progress import Attempt, Phase
 
-
 #: The phases in which no start order of this scheduler is under way.
 SETTLED_PHASES: Final = frozenset(
     (Phase.inherited, Phase.running, Phase.stopping)
--- a/cyclamenshift/duties/accounts.py
+++ b/cyclamenshift/duties/accounts.py
@@ -33,7 +33,7 @@
         super().__init__(kernel)
         self.directory = kernel.get(Directory)
         self.ledger: LimitLedger | None = None
-        self.outcomes = kernel.metrics.load.admission.accounts
+        self.outcomes = kernel.metrics.load.overload.accounts
         kernel.get(Peer).add_call_handler(UsageReport, self._on_usage_report)
 
     def domains(self, catalog: Catalog) -> Iterable[str]:
--- a/cyclamenshift/duties/scheduler.py
+++ b/cyclamenshift/duties/scheduler.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 
 from ..component import Dump, Host
-from ..controls.ownership import Ownership
 from ..controls.job_storing import store_job, store_refusal
+from ..controls.ownership import Ownership
 from ..controls.row_writer import NotWritten, Rival, RowWriter, Written
 from ..decisions.overload.admission_control import TurnedAway
 from ..directory import Catalog, Directory
@@ -66,8 +66,9 @@
         load.tasks_waiting.source = self.tasks_waiting
         load.orders_in_flight.source = self.orders_in_flight
         load.jobs_left_out.source = self.jobs_left_out
-        load.admission.running.source = self.account_cpu
-        load.admission.waiting.source = self.account_tasks_waiting
+        load.overload.running.source = self.account_cpu
+        load.overload.waiting.source = self.account_tasks_waiting
+        load.overload.ejected_workers.source = self.ejected_workers
 
     def domains(self, catalog: Catalog) -> Iterable[str]:
         """Return the services that have queues, or have had some."""
@@ -138,6 +139,13 @@
             if task.job.job.account
         )
 
+    def ejected_workers(self) -> dict[str, int]:
+        """Return how many workers are ejected, by service."""
+        return {
+            service: scheduler.state.health.ejected
+            for service, scheduler in self.schedulers.items()
+        }
+
     def detail_of(self, job_id: str) -> JobDetail | None:
         """Return the details of a job, None if it is not scheduled here."""
         for scheduler in self.schedulers.values():
--- a/cyclamenshift/loadmetrics.py
+++ b/cyclamenshift/loadmetrics.py
@@ -16,7 +16,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
-from .admissionmetrics import AdmissionMetrics
+from .overloadmetrics import OverloadMetrics
 
 #: Upper bounds of the latency buckets, ms; an unbounded one follows.
 BUCKETS_MS: Final = (
@@ -179,18 +179,13 @@
             'Jobs whose progress the store rejects, by service owned here.',
             'service',
         )
-        self.admission = AdmissionMetrics(registry)
+        self.overload = OverloadMetrics(registry)
         self.run_time_ratio = Histogram(
             'cyclamenshift_run_time_ratio',
             'Run time of a step over the estimated or the predicted one.',
             registry=registry,
             buckets=RATIO_BUCKETS,
         )
-        self.forecast_peaks = Counter(
-            'cyclamenshift_forecast_peaks_total',
-            'Forecast peaks of demand, by service and whether they came.',
-            registry=registry,
-        )
         self.owned_epochs = self._reading(
             'owned_epoch',
             'Epoch of each domain that this entry VM owns.',
--- a/cyclamenshift/admissionmetrics.py
+++ b/cyclamenshift/overloadmetrics.py
@@ -1,8 +1,8 @@
 """
-cyclamenshift.admissionmetrics
+cyclamenshift.overloadmetrics
 ==============================
 
-How good the decisions to admit or refuse jobs were, and for which accounts.
+What the decisions under insufficient capacity do, and for which accounts.
 """
 
 from collections.abc import Callable, Mapping
@@ -17,8 +17,10 @@
 Series: TypeAlias = list[tuple[dict[str, str], Any]]
 
 
-class AccountReading(Gauge):
-    """A gauge by account, whose values are computed when it is read."""
+class LabelledReading(Gauge):
+    """A gauge with one label, whose values are computed when it is read."""
+
+    label = 'account'
 
     def __init__(
         self,
@@ -32,14 +34,19 @@
         self.source = source
 
     def get_all(self) -> Series:
-        """Return the current value of each account."""
+        """Return the current value of each label value."""
         return [
-            ({'account': account}, number)
-            for account, number in self.source().items()
+            ({self.label: key}, number) for key, number in self.source().items()
         ]
 
 
-class AdmissionMetrics:
+class ServiceReading(LabelledReading):
+    """Such a gauge by service."""
+
+    label = 'service'
+
+
+class OverloadMetrics:
     """
     The jobs that were refused and that finished, at this entry VM.
 
@@ -59,20 +66,31 @@
             'Accepted jobs that completed, by service and whether in time.',
             registry=registry,
         )
+        self.forecast_peaks = Counter(
+            'cyclamenshift_forecast_peaks_total',
+            'Forecast peaks of demand, by service and whether they came.',
+            registry=registry,
+        )
+        self.ejected_workers = ServiceReading(
+            'ejected_workers',
+            'Workers that get no runs but probes, by service owned here.',
+            dict,
+            registry,
+        )
         self.accounts: AccountOutcomes = no_outcomes()
-        self.running = AccountReading(
+        self.running = LabelledReading(
             'account_running_millicores',
             'The cpu that the runs of an account have, at services owned here.',
             dict,
             registry,
         )
-        self.waiting = AccountReading(
+        self.waiting = LabelledReading(
             'account_waiting_tasks',
             'Tasks of an account that wait, at services owned here.',
             dict,
             registry,
         )
-        self.served = AccountReading(
+        self.served = LabelledReading(
             'account_worst_served_percent',
             'Jobs in time of the worst-served tenth of accounts, per cent.',
             self.accounts.worst_served,
--- a/cyclamenshift/peers/inbound.py
+++ b/cyclamenshift/peers/inbound.py
@@ -24,7 +24,6 @@
 from .connection import Connection, unexpected_message
 from .context import PeerContext
 
-
 #: How many times ``peers.silence`` an incoming connection may be silent.  The
 #: peer that opened it decides whether it is lost; closing it here would tell a
 #: peer with a slow path to this entry VM that this one is gone.
--- a/cyclamenshift/scheduling/admission.py
+++ b/cyclamenshift/scheduling/admission.py
@@ -45,7 +45,7 @@
         self.is_active = kernel.settings['overload']['admission_control']
         self.directory = kernel.get(Directory)
         self.clock = kernel.clock
-        self.metrics = kernel.metrics.load.admission
+        self.metrics = kernel.metrics.load.overload
         self.state = state
         self.account_limits = account_limits
         self.waits = StepWaits()
--- a/cyclamenshift/scheduling/demand.py
+++ b/cyclamenshift/scheduling/demand.py
@@ -40,7 +40,7 @@
     ) -> None:
         """Start without any job; *run_times* predicts run times."""
         self.clock = kernel.clock
-        self.peaks_counted = kernel.metrics.load.forecast_peaks
+        self.peaks_counted = kernel.metrics.load.overload.forecast_peaks
         self.log = log
         self.service = service
         is_learned = kernel.settings['overload']['demand_forecast']
--- a/cyclamenshift/scheduling/recorder.py
+++ b/cyclamenshift/scheduling/recorder.py
@@ -86,7 +86,7 @@
         self.tracker = tracker
         self.clock = kernel.clock
         self.metrics = kernel.metrics
-        self.admission_metrics = kernel.metrics.load.admission
+        self.admission_metrics = kernel.metrics.load.overload
         self.log = log
         self.limits = kernel.settings['store']
         self.row_limit = RowLimit(self.limits['row_limit'], store.size_of)
--- a/cyclamenshift/scheduling/refused_jobs.py
+++ b/cyclamenshift/scheduling/refused_jobs.py
@@ -54,7 +54,7 @@
 
     async def _delete(self, job_ids: list[str]) -> None:
         """Delete rows that still stand for a refusal."""
-        store = self.state.store
+        store = self.state.ownership.store
         keys = [job_key(self.state.service, job_id) for job_id in job_ids]
         rows = await store.read(keys)
         if isinstance(rows, Unavailable):
--- a/cyclamenshift/scheduling/suspects.py
+++ b/cyclamenshift/scheduling/suspects.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from ..decisions.accounts.allotments import NO_LIMITS, StartBudget
+from ..decisions.candidates import Candidate, Placement
 from ..decisions.crashes import MAX_CAUSE_AGE_MS, probation_limit
 from ..decisions.demands import Demand, demand_of
 from ..decisions.isolation import (
@@ -17,7 +18,7 @@
     Occupancy,
     choose_worker,
 )
-from ..decisions.placement import Candidate, Placement, place
+from ..decisions.placement import PlacementRules, place
 from ..decisions.progress import Attempt, Task, WorkerInstance
 from ..decisions.tracker import reserved_resources
 from ..decisions.urgency import most_urgent_first
@@ -137,8 +138,9 @@
             self.held = self.held or instance
             return False
         chosen = {instance: candidates[instance]}
+        rules = PlacementRules(self.budget)
         self.placements.extend(
-            place((task,), chosen, 1, self.placements, self.budget)
+            place((task,), chosen, 1, self.placements, rules)
         )
         self.probation.setdefault(instance, []).append(task)
         self._log_company(task, instance)
--- a/tests/standins/jobs.py
+++ b/tests/standins/jobs.py
@@ -71,7 +71,11 @@
 
 
 class JobCluster(EntryGroup[JobEntry]):
-    """Entry VMs that serve jobs and share a store, a platform and workers."""
+    """
+    Entry VMs that serve jobs and share a store, a platform and workers.
+
+    ``overload`` has the settings of that section at all entry VMs.
+    """
 
     def __init__(self, nursery: trio.Nursery) -> None:
         """Start without entry VMs and without workers."""
