Read usual HTTP responses without h11, under one deadline

h11 took most of the time of a call, and trio's sockets let all other tasks run after each send. The head of a request is encoded once by h11 and kept; a response with a plain head and a length is parsed by one pattern, any other by h11 as before. A connection waits for its socket itself, and one cancel scope bounds both the silence and the whole response.

--- a/cyclamenshift/http1.py
+++ b/cyclamenshift/http1.py
@@ -2,22 +2,27 @@
 cyclamenshift.http1
 ===================
 
-A small HTTP/1.1 client on h11, for many short requests to few addresses.
+A small HTTP/1.1 client, for many short requests to few addresses.
 
-httpx takes about five times the CPU time for such a request; see
+httpx takes many times the CPU time for such a request; see
 docs/MEASUREMENTS.md.
 """
 
 import select
 import socket
-from collections.abc import Callable, Mapping
-from functools import partial
+from collections.abc import Mapping
 from typing import Final, NamedTuple, TypeAlias
 
 import h11
 import trio
 
 from .clock import MS_PER_SECOND, Clock
+from .httpwire import (
+    ParsedResponse,
+    RequestHead,
+    ResponseParser,
+    encode_request,
+)
 from .loadmetrics import LoadMetrics
 
 #: Size of the receive buffer, bytes.
@@ -181,40 +186,56 @@
         connection: '_Connection',
         request: Request,
     ) -> Result:
-        response: Response | None = None
+        head = RequestHead(
+            str(address), request.method, request.target, request.headers
+        )
+        try:
+            encoded = encode_request(head, request.body)
+        except ENCODING_ERRORS as error:
+            connection.close()
+            return NotSent(f'not encoded: {type(error).__name__}')
+        response: ParsedResponse | None = None
         reason = 'no answer in time'
         started = self.clock.now()
-        encoded = connection.encode(address, request)
-        if isinstance(encoded, NotSent):
-            connection.close()
-            return encoded
+        parser = ResponseParser(head, request.body)
         try:
             response = await self._exchange_in_time(
-                connection, request, encoded
+                connection, request, encoded, parser
             )
         except CONNECTION_ERRORS as error:
             reason = f'connection lost: {type(error).__name__}'
         finally:
             self._measure(request, connection, started)
-            self._release(address, connection)
-        return response or NoResponse(reason, connection.process)
+            self._release(address, connection, response)
+        if response is None:
+            return NoResponse(reason, connection.process)
+        return Response(
+            response.status,
+            response.headers,
+            response.body,
+            connection.process,
+        )
 
     async def _exchange_in_time(
         self,
         connection: '_Connection',
         request: Request,
         encoded: bytes,
-    ) -> Response | None:
+        parser: ResponseParser,
+    ) -> ParsedResponse | None:
         """Return the response, None once it stops coming."""
-        clock = self.clock
-        with (
-            clock.move_on_after(request.hold + TRANSFER_TIMEOUT_MS),
-            clock.move_on_after(request.hold + request.timeout) as scope,
-        ):
-            return await connection.exchange(
-                encoded,
-                partial(clock.postpone, scope, request.timeout),
-            )
+        timeout = (request.hold + request.timeout) / MS_PER_SECOND
+        limit = (request.hold + TRANSFER_TIMEOUT_MS) / MS_PER_SECOND
+        started = trio.current_time()
+        latest = started + limit
+        with trio.CancelScope(deadline=started + min(timeout, limit)) as scope:
+            await connection.send(encoded)
+            while True:
+                response = parser.feed(await connection.receive())
+                if response is not None:
+                    return response
+                earliest = trio.current_time() + request.timeout / MS_PER_SECOND
+                scope.deadline = min(latest, max(scope.deadline, earliest))
         return None
 
     def _measure(
@@ -231,7 +252,9 @@
         self, address: Address, request: Request
     ) -> '_Connection | None':
         idle = self.idle.get(address, [])
-        idle.sort(key=lambda each: each.is_identified is request.to_identified)
+        if len(idle) > 1:
+            wanted = request.to_identified
+            idle.sort(key=lambda each: each.is_identified is wanted)
         while idle:
             connection = idle.pop()
             if connection.is_reusable():
@@ -239,9 +262,15 @@
             connection.close()
         return None
 
-    def _release(self, address: Address, connection: '_Connection') -> None:
+    def _release(
+        self,
+        address: Address,
+        connection: '_Connection',
+        response: ParsedResponse | None,
+    ) -> None:
         idle = self.idle.setdefault(address, [])
-        if connection.prepare_reuse() and len(idle) < IDLE_LIMIT:
+        reusable = response is not None and response.reusable
+        if reusable and len(idle) < IDLE_LIMIT:
             idle.append(connection)
         else:
             connection.close()
@@ -265,67 +294,52 @@
         except BaseException:
             sock.close()
             raise
-        return _Connection(sock)
+        return _Connection(_detach(sock))
 
 
 class _Connection:
-    def __init__(self, sock: trio.socket.SocketType) -> None:
+    """
+    An open connection; ``sent`` and ``received`` count bytes of a request.
+
+    It waits for its socket itself: the sockets of trio let other tasks run
+    after each call and first try to receive what can't be there yet.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
-        self.protocol = h11.Connection(h11.CLIENT)
         self.process = RemoteProcess()
         self.sent = 0
         self.received = 0
-        self.on_progress: Callable[[], None] = _do_nothing
 
     @property
     def is_identified(self) -> bool:
         return self.process.identity is not None
 
-    async def exchange(
-        self,
-        encoded: bytes,
-        on_progress: Callable[[], None],
-    ) -> Response:
-        """
-        Send an encoded request and return its response; count their bytes.
-
-        *on_progress* is called whenever a part of the response arrives.
-        """
-        self.on_progress = on_progress
+    async def send(self, encoded: bytes) -> None:
+        """Send an encoded request, and count its bytes from 0."""
         self.sent = 0
         self.received = 0
-        await self._send(encoded)
-        head = await self._next_event()
-        if not isinstance(head, h11.Response):
-            raise _incomplete_response()
-        chunks = []
-        event = await self._next_event()
-        while isinstance(event, h11.Data):
-            chunks.append(bytes(event.data))
-            event = await self._next_event()
-        if not isinstance(event, h11.EndOfMessage):
-            raise _incomplete_response()
-        return _build_response(head, chunks, self.process)
-
-    def encode(self, address: Address, request: Request) -> bytes | NotSent:
-        """Encode a request; one that is not valid HTTP can't be sent."""
-        try:
-            return self._encode(address, request)
-        except ENCODING_ERRORS as error:
-            return NotSent(f'not encoded: {type(error).__name__}')
-
-    def prepare_reuse(self) -> bool:
-        """
-        Prepare for the next request; return False if that is impossible.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        view = memoryview(encoded)
+        while view:
+            try:
+                sent = self.sock.send(view)
+            except BlockingIOError:
+                await trio.lowlevel.wait_writable(self.sock)
+                continue
+            self.sent += sent
+            view = view[sent:]
 
-        Bytes after the response would be taken for the next one.
-        """
-        states = {self.protocol.our_state, self.protocol.their_state}
-        surplus, _ended = self.protocol.trailing_data
-        if states != {h11.DONE} or surplus:
-            return False
-        self.protocol.start_next_cycle()
-        return True
+    async def receive(self) -> bytes:
+        """Return the next bytes, empty at the end of the stream."""
+        while True:
+            await trio.lowlevel.wait_readable(self.sock)
+            try:
+                received = self.sock.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+            self.received += len(received)
+            return received
 
     def is_reusable(self) -> bool:
         """Return whether there is no unread input, not even end of stream."""
@@ -336,56 +350,14 @@
     def close(self) -> None:
         self.sock.close()
 
-    def _encode(self, address: Address, request: Request) -> bytes:
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=[
-                ('Host', str(address)),
-                ('Content-Type', 'application/json'),
-                ('Content-Length', str(len(request.body))),
-                *request.headers,
-            ],
-        )
-        return b''.join(
-            self.protocol.send(event) or b''
-            for event in (head, h11.Data(data=request.body), h11.EndOfMessage())
-        )
-
-    async def _next_event(self) -> object:
-        event = self.protocol.next_event()
-        while event is h11.NEED_DATA:
-            received = await self.sock.recv(RECEIVE_BYTES)
-            self.received += len(received)
-            self.on_progress()
-            self.protocol.receive_data(received)
-            event = self.protocol.next_event()
-        return event
-
-    async def _send(self, data: bytes) -> None:
-        view = memoryview(data)
-        while view:
-            sent = await self.sock.send(view)
-            self.sent += sent
-            view = view[sent:]
-
-
-def _do_nothing() -> None:
-    """Ignore the progress of a connection that no request uses."""
-
-
-def _incomplete_response() -> h11.RemoteProtocolError:
-    return h11.RemoteProtocolError('the answer was cut short')
-
 
-def _build_response(
-    head: h11.Response, chunks: list[bytes], process: RemoteProcess
-) -> Response:
-    headers = {
-        name.decode('latin-1'): value.decode('latin-1')
-        for name, value in head.headers
-    }
-    return Response(head.status_code, headers, b''.join(chunks), process)
+def _detach(sock: trio.socket.SocketType) -> socket.socket:
+    """Return the socket below a socket of trio; it does not block."""
+    detached = socket.socket(
+        sock.family, sock.type, sock.proto, fileno=sock.detach()
+    )
+    detached.setblocking(False)
+    return detached
 
 
 def _set_socket_options(sock: trio.socket.SocketType) -> None:
