Do less for each report, pass and count of an event

A scheduling pass and a report of the pool open no cancel scope for a change that has come already. The id of a run is built once; marking a run that is known to run touches nothing else; acknowledgements that nothing can need are not searched for. Counters with several labels are plain dicts until they are read, and a connection keeps the poller that checks it.

--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -8,6 +8,7 @@
 import enum
 import sys
 from collections.abc import Iterator
+from functools import cached_property
 from typing import Final, NamedTuple, TypeAlias
 
 from ..directory import Queue
@@ -109,7 +110,7 @@
         self.percent = 0
         self.usage = 0
 
-    @property
+    @cached_property
     def run(self) -> RunId:
         """The id of this run."""
         return RunId(self.task.task_id, self.number)
@@ -154,8 +155,11 @@
 
     def see(self, clock: int) -> None:
         """Record that the run was there at *clock* of its worker."""
-        first, last = self.seen or (clock, clock)
-        self.seen = ClockSpan(first, max(last, clock))
+        seen = self.seen
+        if seen is None:
+            self.seen = ClockSpan(clock, clock)
+        elif clock > seen.last:
+            self.seen = ClockSpan(seen.first, clock)
 
     def confirm(self, position: int, *, reported: bool) -> None:
         """Record an answer that told of the run, a report if *reported*."""
--- a/cyclamenshift/decisions/run_ends.py
+++ b/cyclamenshift/decisions/run_ends.py
@@ -59,6 +59,8 @@
     @property
     def acknowledged(self) -> int:
         """The number up to which all ends are recorded."""
+        if not self.pending:
+            return self.applied
         self.pending = [each for each in self.pending if not each.recorded]
         return min(
             (each.acknowledged for each in self.pending),
@@ -74,6 +76,8 @@
         a process that has restarted under the same id have the same numbers,
         and it would drop them.
         """
+        if self.applied <= self.forgotten:
+            return 0
         number = self.acknowledged
         return number if number > self.forgotten else 0
 
--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -36,6 +36,10 @@
 #: The phases before the answer to a start.  The answer tells whether the run
 #: was there: a start sent after a crash is refused by the replacement.
 UNANSWERED_PHASES: Final = frozenset((Phase.planned, Phase.ordered))
+#: The phases that end once the worker is known to run the attempt.
+STARTING_PHASES: Final = frozenset(
+    (Phase.ordered, Phase.unsettled, Phase.inherited)
+)
 
 
 class WorkerCrash(NamedTuple):
@@ -151,9 +155,12 @@
             attempt.task.crashes = Crashes()
             self.mark_dirty(attempt.task.job)
         attempt.task.job.started = True
-        if attempt.phase is Phase.ordered:
+        phase = attempt.phase
+        if phase is Phase.running:
+            return
+        if phase is Phase.ordered:
             attempt.start_clock = clock
-        if attempt.phase in {Phase.ordered, Phase.unsettled, Phase.inherited}:
+        if phase in STARTING_PHASES:
             attempt.phase = Phase.running
 
     def weigh(self, attempt: Attempt, evidence: Any) -> Verdict:
@@ -325,9 +332,10 @@
 
     A gang shares one count, so one of its members can't clear it.
     """
-    outlived = attempt.seen_for > MAX_CAUSE_AGE_MS
     task = attempt.task
-    return outlived and task.crashes.in_a_row > 0 and not task.step.gang
+    if not task.crashes.in_a_row or task.step.gang:
+        return False
+    return attempt.seen_for > MAX_CAUSE_AGE_MS
 
 
 def _gang_of(gone: Attempt) -> list[Attempt]:
--- a/cyclamenshift/http1.py
+++ b/cyclamenshift/http1.py
@@ -310,6 +310,8 @@
         self.process = RemoteProcess()
         self.sent = 0
         self.received = 0
+        self.poller = select.poll()
+        self.poller.register(sock, select.POLLIN)
 
     @property
     def is_identified(self) -> bool:
@@ -343,9 +345,7 @@
 
     def is_reusable(self) -> bool:
         """Return whether there is no unread input, not even end of stream."""
-        poller = select.poll()
-        poller.register(self.sock, select.POLLIN)
-        return not poller.poll(0)
+        return not self.poller.poll(0)
 
     def close(self) -> None:
         self.sock.close()
--- a/cyclamenshift/job.py
+++ b/cyclamenshift/job.py
@@ -21,7 +21,7 @@
     @property
     def final(self) -> bool:
         """Whether the job can't change its state any more."""
-        return self not in {JobState.queued, JobState.running}
+        return self is not JobState.queued and self is not JobState.running
 
 
 class RunOutcome(enum.StrEnum):
--- a/cyclamenshift/loadmetrics.py
+++ b/cyclamenshift/loadmetrics.py
@@ -66,6 +66,28 @@
         ]
 
 
+class LabelledTally(Counter):
+    """A counter with several labels, for frequent events."""
+
+    def __init__(self, name: str, doc: str, registry: Registry) -> None:
+        """Start at 0."""
+        super().__init__(name, doc, registry=registry)
+        self.totals: defaultdict[tuple[tuple[str, str], ...], int] = (
+            defaultdict(int)
+        )
+
+    def inc(self, labels: dict[str, str]) -> None:
+        """Count an event; *labels* are always given in the same order."""
+        self.totals[tuple(labels.items())] += 1
+
+    def get_all(self) -> Series:
+        """Return the total of each label set, its labels sorted by name."""
+        return [
+            (dict(sorted(labels)), total)
+            for labels, total in self.totals.items()
+        ]
+
+
 class Timing(Histogram):
     """A histogram with at most one label, for frequent events."""
 
--- a/cyclamenshift/metrics.py
+++ b/cyclamenshift/metrics.py
@@ -9,7 +9,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from .loadmetrics import BUCKETS_MS, LoadMetrics
+from .loadmetrics import BUCKETS_MS, LabelledTally, LoadMetrics
 
 #: Media type of the Prometheus text format.
 TEXT_FORMAT: Final = 'text/plain; version=0.0.4'
@@ -38,15 +38,15 @@
             'late_answers_total',
             'Answers that came after their request was settled.',
         )
-        self.store_calls = self._counter(
+        self.store_calls = self._tally(
             'store_calls_total',
             'Calls of the store, by operation and result.',
         )
-        self.run_orders = self._counter(
+        self.run_orders = self._tally(
             'run_orders_total',
             'Orders to start a run, by service and result.',
         )
-        self.run_ends = self._counter(
+        self.run_ends = self._tally(
             'run_ends_total',
             'Runs that ended, by service and how.',
         )
@@ -85,5 +85,8 @@
             buckets=BUCKETS_MS,
         )
 
+    def _tally(self, name: str, doc: str) -> LabelledTally:
+        return LabelledTally(f'cyclamenshift_{name}', doc, self.registry)
+
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(f'cyclamenshift_{name}', doc, registry=self.registry)
--- a/cyclamenshift/scheduling/lease_renewer.py
+++ b/cyclamenshift/scheduling/lease_renewer.py
@@ -5,7 +5,7 @@
 Renews the lease of one worker while it has runs, and applies its reports.
 """
 
-from functools import singledispatchmethod
+from functools import singledispatch
 from typing import Final
 
 from ..decisions.leases import REPORT_WAIT_MS
@@ -88,12 +88,57 @@
             self.state.bound_successor_leases(session)
         if not session.closed:
             self._expire_orders(result, asked_at)
-            await self._handle(result, asked)
+            await _handle(result, self, asked)
         elif isinstance(result, WorkerReport):
             self._apply_late_ends(result)
         if isinstance(result, WorkerReport) and not session.closed:
             session.end_log.confirm(acknowledged)
 
+    def apply_report(self, result: WorkerReport, asked: int) -> None:
+        """Apply a report, maybe that of a process that has restarted."""
+        session = self.session
+        if result.started_at != session.worker.started_at:
+            self.state.follow_restart(session, result.started_at)
+            self._adopt_runs(result)
+            return
+        session.lease.observe(result.clock, self.clock.now())
+        session.record_report()
+        self.state.apply_report(session, result, asked)
+
+    async def apply_refusal(self, result: Refused) -> None:
+        """Handle the refusal of a renewal."""
+        if result.reason is RefusalReason.replaced:
+            self.state.close_session(self.session, 'replaced')
+        elif result.reason is RefusalReason.fenced:
+            await self.state.ownership.check()
+        else:
+            await self.record_miss(
+                Unanswered(True, f'refused: {result.reason}')
+            )
+
+    async def record_miss(self, result: Unanswered) -> None:
+        """Record a call without a report, and wait before the next one."""
+        session = self.session
+        session.record_miss(self.clock.now(), refused=result.refused)
+        self.state.tracker.mark_unresponsive(session.worker.instance)
+        if session.misses == 1:
+            self.state.log.note(
+                'No report from a worker.',
+                worker=session.worker.worker_id,
+                reason=result.reason,
+                runs=len(
+                    self.state.tracker.attempts_at(session.worker.instance)
+                ),
+            )
+        if session.lease.all_expired(self.clock.now()):
+            self.state.mark_leases_expired(session)
+        delay = (
+            RETRY_DELAY_MS
+            if session.registered
+            else UNREGISTERED_RETRY_DELAY_MS
+        )
+        await self.clock.sleep(delay)
+
     def _expire_orders(
         self, result: WorkerReport | Refused | Unanswered, asked_at: int
     ) -> None:
@@ -188,26 +233,10 @@
     def _awaits_answers(self) -> bool:
         """Return whether ends are acknowledged only after other answers."""
         session = self.session
+        if not session.end_log.to_acknowledge:
+            return False
         attempts = self.state.tracker.attempts_at(session.worker.instance)
-        has_ends = session.end_log.to_acknowledge > 0
-        return has_ends and may_be_elsewhere(attempts)
-
-    @singledispatchmethod
-    async def _handle(
-        self, result: WorkerReport | Refused | Unanswered, asked: int
-    ) -> None:
-        raise NotImplementedError(type(result).__qualname__)
-
-    @_handle.register
-    async def _handle_report(self, result: WorkerReport, asked: int) -> None:
-        session = self.session
-        if result.started_at != session.worker.started_at:
-            self.state.follow_restart(session, result.started_at)
-            self._adopt_runs(result)
-            return
-        session.lease.observe(result.clock, self.clock.now())
-        session.record_report()
-        self.state.apply_report(session, result, asked)
+        return may_be_elsewhere(attempts)
 
     def _adopt_runs(self, report: WorkerReport) -> None:
         """
@@ -227,39 +256,33 @@
         session.record_report()
         self.state.apply_report(session, report, session.calls.position)
 
-    @_handle.register
-    async def _handle_refusal(self, result: Refused, asked: int) -> None:
-        if result.reason is RefusalReason.replaced:
-            self.state.close_session(self.session, 'replaced')
-        elif result.reason is RefusalReason.fenced:
-            await self.state.ownership.check()
-        else:
-            await self._record_miss(
-                Unanswered(True, f'refused: {result.reason}')
-            )
 
-    @_handle.register
-    async def _handle_unanswered(self, result: Unanswered, asked: int) -> None:
-        await self._record_miss(result)
+@singledispatch
+async def _handle(
+    result: WorkerReport | Refused | Unanswered,
+    renewer: LeaseRenewer,
+    asked: int,
+) -> None:
+    """Handle the answer to a renewal made at position *asked*."""
+    raise NotImplementedError(type(result).__qualname__)
 
-    async def _record_miss(self, result: Unanswered) -> None:
-        session = self.session
-        session.record_miss(self.clock.now(), refused=result.refused)
-        self.state.tracker.mark_unresponsive(session.worker.instance)
-        if session.misses == 1:
-            self.state.log.note(
-                'No report from a worker.',
-                worker=session.worker.worker_id,
-                reason=result.reason,
-                runs=len(
-                    self.state.tracker.attempts_at(session.worker.instance)
-                ),
-            )
-        if session.lease.all_expired(self.clock.now()):
-            self.state.mark_leases_expired(session)
-        delay = (
-            RETRY_DELAY_MS
-            if session.registered
-            else UNREGISTERED_RETRY_DELAY_MS
-        )
-        await self.clock.sleep(delay)
+
+@_handle.register
+async def _handle_report(
+    result: WorkerReport, renewer: LeaseRenewer, asked: int
+) -> None:
+    renewer.apply_report(result, asked)
+
+
+@_handle.register
+async def _handle_refusal(
+    result: Refused, renewer: LeaseRenewer, asked: int
+) -> None:
+    await renewer.apply_refusal(result)
+
+
+@_handle.register
+async def _handle_unanswered(
+    result: Unanswered, renewer: LeaseRenewer, asked: int
+) -> None:
+    await renewer.record_miss(result)
--- a/cyclamenshift/scheduling/placer.py
+++ b/cyclamenshift/scheduling/placer.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+from itertools import chain
 from typing import Final
 
 import trio
@@ -93,11 +94,8 @@
             for instance, session in self.state.sessions.items()
             if session.misses
         }
-        attempts = (
-            attempt
-            for attempts_by_run in self.tracker.attempts_by_worker.values()
-            for attempt in attempts_by_run.values()
-        )
+        by_worker = self.tracker.attempts_by_worker.values()
+        attempts = chain.from_iterable(runs.values() for runs in by_worker)
         return slow_runs(attempts, silent, now)
 
     def _log_copies(
--- a/cyclamenshift/scheduling/reporting.py
+++ b/cyclamenshift/scheduling/reporting.py
@@ -44,8 +44,9 @@
             due_in = MAX_INTERVAL_MS
         changed = state.changed
         await state.clock.sleep(MIN_INTERVAL_MS)
-        with state.clock.move_on_after(max(0, due_in - MIN_INTERVAL_MS)):
-            await changed.wait()
+        if not changed.is_set():
+            with state.clock.move_on_after(max(0, due_in - MIN_INTERVAL_MS)):
+                await changed.wait()
 
 
 def _interval(
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -91,8 +91,7 @@
                 await self.clock.sleep(
                     max(MIN_PASS_PAUSE_MS, PASS_PAUSE_FACTOR * elapsed)
                 )
-                with self.clock.move_on_after(self._time_until_due()):
-                    await changed.wait()
+                await self._wait_until_due(changed)
 
     def job_state(self, job_id: str) -> tuple[str, JobState | None]:
         """Return a job's queue and visible state, None if it is unknown."""
@@ -210,6 +209,13 @@
     def _open_due_occurrences(self) -> None:
         self.tracker.open_due(self.clock.wall_time())
 
+    async def _wait_until_due(self, changed: trio.Event) -> None:
+        """Wait for a change or an occurrence."""
+        if changed.is_set():
+            return
+        with self.clock.move_on_after(self._time_until_due()):
+            await changed.wait()
+
     def _time_until_due(self) -> int:
         due = self.tracker.next_due()
         if due is None:
