Look for slow runs and loads of VMs with fewer calls

Each scheduling pass built an object for each run of a speculative step, and each report of a pool looked at the runs of idle workers.

--- a/cyclamenshift/decisions/copies.py
+++ b/cyclamenshift/decisions/copies.py
@@ -5,6 +5,7 @@
 Speculative execution: selects slow runs that should get a copy.
 """
 
+import math
 import statistics
 from collections.abc import Collection, Iterable
 from typing import Final, NamedTuple
@@ -21,6 +22,10 @@
 #: The age above which a run at a worker that does not answer is slow, ms:
 #: longer than the retries of a call that was lost once.
 SILENCE_TIMEOUT_MS: Final = 300
+#: A limit that each age exceeds.
+ANY_AGE: Final = -1
+#: The phases in which the worker may not have the run.
+UNCONFIRMED_PHASES: Final = frozenset((Phase.inherited, Phase.unsettled))
 
 
 class SlowRun(NamedTuple):
@@ -59,14 +64,10 @@
         key = task.task_id.step_id
         if key not in typical:
             typical[key] = _typical_run_time(task)
-        run = SlowRun(
-            attempt,
-            age=attempt.elapsed(now),
-            typical=typical[key],
-            silent=_is_silent(attempt, silent),
-        )
-        if _is_slow(run):
-            slow.append(run)
+        is_silent = _is_silent(attempt, silent)
+        age = attempt.elapsed(now)
+        if age > _age_limit(attempt, typical[key], silent=is_silent):
+            slow.append(SlowRun(attempt, age, typical[key], is_silent))
     return slow
 
 
@@ -80,17 +81,15 @@
 
 
 def _is_silent(attempt: Attempt, silent: Collection[WorkerInstance]) -> bool:
-    unconfirmed = attempt.phase in {Phase.inherited, Phase.unsettled}
-    return unconfirmed or attempt.instance in silent
+    return attempt.phase in UNCONFIRMED_PHASES or attempt.instance in silent
 
 
-def _is_slow(run: SlowRun) -> bool:
-    if run.silent:
-        adopted = run.attempt.planned_at is None
-        return adopted or run.age > SILENCE_TIMEOUT_MS
-    if not run.typical:
-        return False
-    return run.age > run.typical * SLOW_FACTOR
+def _age_limit(attempt: Attempt, typical: int | None, *, silent: bool) -> float:
+    """Return the age above which a run is slow, ms."""
+    if silent:
+        adopted = attempt.planned_at is None
+        return ANY_AGE if adopted else SILENCE_TIMEOUT_MS
+    return typical * SLOW_FACTOR if typical else math.inf
 
 
 def _typical_run_time(task: Task) -> int | None:
--- a/cyclamenshift/scheduling/lease_renewer.py
+++ b/cyclamenshift/scheduling/lease_renewer.py
@@ -65,9 +65,9 @@
         """
         session = self.session
         acknowledged = self._ends_to_acknowledge()
-        session.end_log.record_kept(
-            self.clock.now(), kept=self._awaits_answers()
-        )
+        # Ends that are acknowledged now wait for no answer.
+        kept = not acknowledged and self._awaits_answers()
+        session.end_log.record_kept(self.clock.now(), kept=kept)
         order = LeaseRenewal(
             expires=self.state.grant_lease(session),
             fence=self.state.term.epoch,
--- a/cyclamenshift/scheduling/reporting.py
+++ b/cyclamenshift/scheduling/reporting.py
@@ -107,10 +107,14 @@
 
 
 def _vm_load(state: ServiceState, session: WorkerSession) -> VmLoad:
-    runs = state.tracker.attempts_at(session.worker.instance)
+    worker = session.worker
+    instance = worker.instance
+    runs = state.tracker.attempts_at(instance)
+    if not runs:
+        return VmLoad(worker.vm_id, NO_RESOURCES, 0, 0)
     return VmLoad(
-        vm_id=session.worker.vm_id,
-        used=state.tracker.used.get(session.worker.instance, NO_RESOURCES),
+        vm_id=worker.vm_id,
+        used=state.tracker.used[instance],
         runs=len(runs),
         long_runs=sum(attempt.task.step.long_running for attempt in runs),
     )
