--- a/cyclamenshift/decisions/copies.py
+++ b/cyclamenshift/decisions/copies.py
@@ -5,6 +5,7 @@
 Speculative execution: selects slow runs that should get a copy.
 """
 
+import math
 import statistics
 from collections.abc import Collection, Iterable
 from typing import Final, NamedTuple
@@ -21,6 +22,10 @@
 #: The age above which a run at a worker that does not answer is slow, ms:
 #: longer than the retries of a call that was lost once.
 SILENCE_TIMEOUT_MS: Final = 300
+#: A limit that each age exceeds.
+ANY_AGE: Final = -1
+#: The phases in which the worker may not have the run.
+UNCONFIRMED_PHASES: Final = frozenset((Phase.inherited, Phase.unsettled))
 
 
 class Bounds(NamedTuple):
@@ -68,15 +73,11 @@
         key = task.task_id.step_id
         if key not in bounds:
             bounds[key] = _bounds(task)
-        run = SlowRun(
-            attempt,
-            age=attempt.elapsed(now),
-            typical=bounds[key].typical,
-            limit=bounds[key].limit,
-            silent=_is_silent(attempt, silent),
-        )
-        if _is_slow(run):
-            slow.append(run)
+        typical, limit = bounds[key]
+        is_silent = _is_silent(attempt, silent)
+        age = attempt.elapsed(now)
+        if age > _age_limit(attempt, limit, silent=is_silent):
+            slow.append(SlowRun(attempt, age, typical, limit, is_silent))
     return slow
 
 
@@ -90,15 +91,15 @@
 
 
 def _is_silent(attempt: Attempt, silent: Collection[WorkerInstance]) -> bool:
-    unconfirmed = attempt.phase in {Phase.inherited, Phase.unsettled}
-    return unconfirmed or attempt.instance in silent
+    return attempt.phase in UNCONFIRMED_PHASES or attempt.instance in silent
 
 
-def _is_slow(run: SlowRun) -> bool:
-    if run.silent:
-        adopted = run.attempt.planned_at is None
-        return adopted or run.age > SILENCE_TIMEOUT_MS
-    return run.limit is not None and run.age > run.limit
+def _age_limit(attempt: Attempt, limit: float | None, *, silent: bool) -> float:
+    """Return the age above which a run is slow, ms."""
+    if silent:
+        adopted = attempt.planned_at is None
+        return ANY_AGE if adopted else SILENCE_TIMEOUT_MS
+    return math.inf if limit is None else limit
 
 
 def _bounds(task: Task) -> Bounds:
--- a/cyclamenshift/scheduling/reporting.py
+++ b/cyclamenshift/scheduling/reporting.py
@@ -47,8 +47,9 @@
         due_in = state.demand.time_until_change(due_in)
         changed = state.changed
         await state.clock.sleep(MIN_INTERVAL_MS)
-        with state.clock.move_on_after(max(0, due_in - MIN_INTERVAL_MS)):
-            await changed.wait()
+        if not changed.is_set():
+            with state.clock.move_on_after(max(0, due_in - MIN_INTERVAL_MS)):
+                await changed.wait()
 
 
 def _interval(
@@ -117,10 +118,14 @@
 
 
 def _vm_load(state: ServiceState, session: WorkerSession) -> VmLoad:
-    runs = state.tracker.attempts_at(session.worker.instance)
+    worker = session.worker
+    instance = worker.instance
+    runs = state.tracker.attempts_at(instance)
+    if not runs:
+        return VmLoad(worker.vm_id, NO_RESOURCES, 0, 0)
     return VmLoad(
-        vm_id=session.worker.vm_id,
-        used=state.tracker.used.get(session.worker.instance, NO_RESOURCES),
+        vm_id=worker.vm_id,
+        used=state.tracker.used[instance],
         runs=len(runs),
         long_runs=sum(attempt.task.step.long_running for attempt in runs),
     )
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -97,8 +97,7 @@
                 await self.clock.sleep(
                     max(MIN_PASS_PAUSE_MS, PASS_PAUSE_FACTOR * elapsed)
                 )
-                with self.clock.move_on_after(self._time_until_due()):
-                    await changed.wait()
+                await self._wait_until_due(changed)
 
     def job_state(self, job_id: str) -> StateAnswer:
         """Return a job's visible state, None if it is unknown."""
@@ -239,6 +238,13 @@
             waiting = self.tracker.waiting.values()
             self.tracker.learner.refresh(waiting, self.clock.now())
 
+    async def _wait_until_due(self, changed: trio.Event) -> None:
+        """Wait for a change or an occurrence."""
+        if changed.is_set():
+            return
+        with self.clock.move_on_after(self._time_until_due()):
+            await changed.wait()
+
     def _time_until_due(self) -> int:
         due = self.tracker.next_due()
         if due is None:
