Send heartbeats at the full rate only where they find the loss of an owner

Each entry VM sent two heartbeats per peers.heartbeat to each other one, on the connection that it opened and on the one that the peer opened: 112 a second among 15 on the platform. Only those from owners of domains, on the connection of the receiver, decide about a take-over.

Now the receiver requests the rate of each direction (HeartbeatRequest), and all peers together that need not be watched cost as much as one did before. A disturbance, a call or a stop makes the receiver check the others at once. Only peers that register adjusts_heartbeats are asked; all others send and get the full rate.

A flush of a connection that was closed waited for the whole limit of silence; it returns at once.

--- a/cyclamenshift/controls/holder_probe.py
+++ b/cyclamenshift/controls/holder_probe.py
@@ -16,6 +16,7 @@
 import trio
 
 from ..component import Host
+from ..decisions.heartbeats import HEARTBEATS_HEARD
 from ..decisions.owners import choose_witnesses, is_loss_confirmed
 from ..jobmessages import HolderAnswer, HolderQuery
 from ..peer import Payload, Peer
@@ -23,10 +24,6 @@
 
 #: How long to wait for the answers of the peers, ms.
 ANSWER_TIMEOUT_MS: Final = 300
-#: A peer hears the holder if data came within this many heartbeats.  That is
-#: less than ``peers.silence``, so that nobody hears a holder that has ended
-#: by the time at which another entry VM has lost it.
-HEARTBEATS_HEARD: Final = 2
 
 #: Returns the epochs of the domains that an entry VM reports to own.
 GetDomains = Callable[[str], Mapping[str, int]]
--- a/cyclamenshift/controls/membership.py
+++ b/cyclamenshift/controls/membership.py
@@ -55,6 +55,7 @@
             incarnation=_new_incarnation(self.clock),
             size=entry['size'],
             answers_probes=kernel.settings['entry']['work'] == 'jobs',
+            adjusts_heartbeats=True,
         )
         self.registered: dict[str, EntryVm] = {}
         self.version = ABSENT
@@ -151,6 +152,7 @@
             incarnation=self.own.incarnation,
             size=self.own.size,
             answers_probes=self.own.answers_probes,
+            adjusts_heartbeats=self.own.adjusts_heartbeats,
         )
         transaction = Transaction((), (Write(key, row),))
         result = await self.store.commit(transaction)
--- a/cyclamenshift/controls/ownership.py
+++ b/cyclamenshift/controls/ownership.py
@@ -149,6 +149,7 @@
 
     def _on_holdings(self, entry_id: str, holdings: Holdings) -> None:
         self.peer_domains[entry_id] = dict(holdings.domains)
+        self.peer.change_rate(entry_id, full=bool(holdings.domains))
         for domain, epoch in holdings.domains:
             self.holders.record_epoch(domain, epoch)
         self._check_requested.set()
--- a/cyclamenshift/model.py
+++ b/cyclamenshift/model.py
@@ -113,7 +113,8 @@
 
     ``incarnation`` identifies one run of its process.  ``size`` is its CPU
     capacity in millicores.  ``answers_probes`` tells whether it knows the
-    message ``HolderQuery``.
+    message ``HolderQuery``, and ``adjusts_heartbeats`` whether it knows
+    ``HeartbeatRequest``.
     """
 
     entry_id: str
@@ -123,6 +124,7 @@
     incarnation: str
     size: int = 1000
     answers_probes: bool = False
+    adjusts_heartbeats: bool = False
 
 
 class Load(NamedTuple):
--- a/cyclamenshift/peer.py
+++ b/cyclamenshift/peer.py
@@ -11,7 +11,17 @@
 
 import abc
 from collections.abc import Awaitable, Callable
-from typing import Any, ClassVar, Final, NamedTuple, TypeAlias, TypeVar
+from typing import (
+    Annotated,
+    Any,
+    ClassVar,
+    Final,
+    NamedTuple,
+    TypeAlias,
+    TypeVar,
+)
+
+from msgspec import Meta
 
 from .component import Component
 from .errors import PluginError
@@ -41,6 +51,17 @@
     updates: tuple[Payload, ...]
 
 
+class HeartbeatRequest(NamedTuple):
+    """
+    Requests a heartbeat now, and then one each *factor* intervals.
+
+    The interval is ``peers.heartbeat``.  Only peers that have registered with
+    ``adjusts_heartbeats`` know this message.
+    """
+
+    factor: Annotated[int, Meta(ge=1)]
+
+
 class Call(NamedTuple):
     """A call, which is answered by a ``Reply`` with the same number."""
 
@@ -89,6 +110,7 @@
 Message: TypeAlias = (
     Hello
     | Heartbeat
+    | HeartbeatRequest
     | Call
     | Reply
     | CancelCall
@@ -219,6 +241,15 @@
     def add_watcher(self, watcher: Callable[[str], None]) -> None:
         """Call *watcher* with the id of a peer that connects or goes away."""
 
+    @abc.abstractmethod
+    def change_rate(self, entry_id: str, *, full: bool) -> None:
+        """
+        Set whether the loss of a peer must be found soon.
+
+        At first that is so for each peer.  The heartbeats of others are far
+        apart while nothing indicates a disturbance.
+        """
+
     @abc.abstractmethod
     def flush_updates(self) -> None:
         """Send the status updates now instead of at the next heartbeat."""
--- a/cyclamenshift/peers/connection.py
+++ b/cyclamenshift/peers/connection.py
@@ -18,9 +18,10 @@
 from ..errors import ProtocolError
 from ..loadmetrics import LoadMetrics
 from ..logs import get_logger
-from ..peer import Call, Message, Notification, Reply
+from ..peer import Call, HeartbeatRequest, Message, Notification, Reply
 from ..settings import PeerSettings
 from .frames import Decoder, encode
+from .silence import HeartbeatTimer, SilenceLimit
 
 log = get_logger('peers')
 
@@ -32,8 +33,6 @@
 )
 #: The exceptions raised for a message that can't be packed.
 UNENCODABLE_ERRORS: Final = (OverflowError, ValueError)
-#: Size of the receive buffer, bytes.
-RECEIVE_BYTES = 65_536
 #: A connection is lost if sending this many bytes takes ``peers.silence``.
 SEND_CHUNK_BYTES = 16_384
 
@@ -46,9 +45,9 @@
     """
     A bidirectional connection that sends and receives whole messages.
 
-    ``receive`` fails if nothing arrives within ``peers.silence``.  The peer
-    sends heartbeats more often than that, so a silent connection is lost.
-    ``silence_timeout_s`` may be raised for connections that decide nothing.
+    ``receive`` fails if nothing arrives within the limit of ``silence``.  The
+    peer sends heartbeats more often than that, so a silent connection is lost.
+    ``timer`` tells when to send heartbeats to the peer.
     ``enqueue`` appends a message to the send queue; the task that runs
     ``send_queued`` sends the queue in order.
     """
@@ -63,7 +62,8 @@
         """Take ownership of *stream*; count its traffic in *load*."""
         self.stream = stream
         self.clock = clock
-        self.silence_timeout_s = settings['silence'] / MS_PER_SECOND
+        self.silence = SilenceLimit(settings)
+        self.timer = HeartbeatTimer(clock, settings)
         self.last_received_at = clock.now()
         self.load = load
         self.frame_limit = settings['frame_limit']
@@ -84,14 +84,15 @@
         traceback: TracebackType | None,
     ) -> None:
         """Close the connection."""
+        self._flushed.set()
         await trio.aclose_forcefully(self.stream)
 
     async def receive(self) -> Message:
         """
         Return the next message.
 
-        Raises TooSlowError after ``peers.silence`` without data, and
-        BrokenResourceError if the peer has closed the connection.
+        Raises TooSlowError if the connection is silent for too long, and
+        BrokenResourceError if the peer has closed it.
         """
         while True:
             for message in self._messages:
@@ -100,13 +101,27 @@
                     _kind(message), self._decoder.frame_bytes
                 )
                 return message
-            with trio.fail_after(self.silence_timeout_s):
-                received = await self.stream.receive_some(RECEIVE_BYTES)
+            received = await self.silence.receive_some(self.stream)
             if not received:
                 raise trio.BrokenResourceError('closed by the peer')
             self.last_received_at = self.clock.now()
             self._messages = self._decoder.feed(received)
 
+    def request_heartbeats(self, factor: int) -> None:
+        """Request a heartbeat now, and then one each *factor* intervals."""
+        self.silence.expect(factor)
+        self.enqueue(HeartbeatRequest(factor))
+
+    def check(self) -> None:
+        """Request a heartbeat from a peer that sends few, if it is quiet."""
+        silence = self.silence
+        if silence.factor > 1 and not silence.reply_due:
+            silent_s = (
+                self.clock.now() - self.last_received_at
+            ) / MS_PER_SECOND
+            if silent_s >= silence.quiet_after_s:
+                self.request_heartbeats(silence.factor)
+
     def enqueue(self, message: Message) -> None:
         """Append *message* to the send queue."""
         self._queue.append((self.clock.now(), message))
@@ -128,9 +143,13 @@
                 self._flushed = trio.Event()
 
     async def flush(self) -> None:
-        """Wait until the queue is sent, at most for ``peers.silence``."""
+        """
+        Wait until the queue is sent or the connection is closed.
+
+        Waits at most for ``peers.silence``.
+        """
         self._wakeup.set()
-        with trio.move_on_after(self.silence_timeout_s):
+        with trio.move_on_after(self.silence.lost_after_s):
             await self._flushed.wait()
 
     def _encode(self, queued: tuple[int, Message]) -> bytes:
@@ -163,7 +182,7 @@
     async def _send(self, data: bytes) -> None:
         try:
             for start in range(0, len(data), SEND_CHUNK_BYTES):
-                with trio.fail_after(self.silence_timeout_s):
+                with trio.fail_after(self.silence.lost_after_s):
                     await self.stream.send_all(
                         data[start : start + SEND_CHUNK_BYTES],
                     )
--- a/cyclamenshift/peers/context.py
+++ b/cyclamenshift/peers/context.py
@@ -24,6 +24,7 @@
     Reporter,
 )
 from .connection import Connection, unexpected_message
+from .rates import HeartbeatRates, Process
 
 
 class PeerContext:
@@ -42,7 +43,8 @@
         self.watchers: list[Callable[[str], None]] = []
         #: The latest connection from each process, by entry VM id and
         #: incarnation.
-        self.inbound: dict[tuple[str, str], Connection] = {}
+        self.inbound: dict[Process, Connection] = {}
+        self.rates = HeartbeatRates(self.inbound)
 
     def make_connection(self, stream: Stream) -> Connection:
         """Return a connection over *stream*."""
@@ -83,7 +85,7 @@
 
     def remove_inbound(
         self,
-        process: tuple[str, str],
+        process: Process,
         connection: Connection,
     ) -> None:
         """Remove *connection*, unless *process* has opened a newer one."""
--- a/cyclamenshift/peers/frames.py
+++ b/cyclamenshift/peers/frames.py
@@ -21,6 +21,7 @@
     Call,
     CancelCall,
     Heartbeat,
+    HeartbeatRequest,
     Hello,
     Leaving,
     LeavingAck,
@@ -40,6 +41,7 @@
     CancelCall: 7,
     Leaving: 8,
     LeavingAck: 9,
+    HeartbeatRequest: 10,
 }
 
 #: The exceptions raised for a frame that is no valid message.
--- a/cyclamenshift/peers/inbound.py
+++ b/cyclamenshift/peers/inbound.py
@@ -14,6 +14,7 @@
     Call,
     CancelCall,
     Heartbeat,
+    HeartbeatRequest,
     Hello,
     Leaving,
     LeavingAck,
@@ -38,14 +39,13 @@
         """Serve *connection*; ``handshake`` comes first, then ``run``."""
         self.context = context
         self.connection = connection
-        self.connection.silence_timeout_s *= SILENCE_FACTOR
+        self.connection.silence.lost_after_s *= SILENCE_FACTOR
         self.entry_id = ''
         self.peer_process = ('', '')
         self.active_calls: dict[int, trio.CancelScope] = {}
         self.leaving_sent = False
         self.calls_ended = trio.Event()
         self.idle = trio.Event()
-        self.flush_requested = trio.Event()
 
     async def handshake(self) -> Hello:
         """Receive and return the ``Hello`` of the peer, and reply to it."""
@@ -57,6 +57,7 @@
         self.peer_process = (hello.entry_id, hello.incarnation)
         self.context.inbound[self.peer_process] = self.connection
         self.connection.enqueue(self.context.make_hello())
+        self.context.rates.update_inbound(self.peer_process)
         return hello
 
     async def run(self) -> None:
@@ -86,12 +87,9 @@
     async def _send_heartbeats(self) -> None:
         reporters = [factory() for factory in self.context.reporters]
         while True:
-            self.flush_requested = trio.Event()
             updates = [update for report in reporters for update in report()]
             self.connection.enqueue(Heartbeat(tuple(updates)))
-            heartbeat = self.context.settings['heartbeat']
-            with self.context.clock.move_on_after(heartbeat):
-                await self.flush_requested.wait()
+            await self.connection.timer.wait()
 
     @singledispatchmethod
     def _on_message(self, message: Message, nursery: trio.Nursery) -> None:
@@ -105,6 +103,12 @@
     ) -> None:
         """Nothing to do: receiving it has reset the silence timeout."""
 
+    @_on_message.register
+    def _on_heartbeat_request(
+        self, message: HeartbeatRequest, nursery: trio.Nursery
+    ) -> None:
+        self.connection.timer.request(message.factor)
+
     @_on_message.register
     def _on_call(self, message: Call, nursery: trio.Nursery) -> None:
         nursery.start_soon(self._answer_call, message)
--- a/cyclamenshift/peers/link.py
+++ b/cyclamenshift/peers/link.py
@@ -21,6 +21,7 @@
     Call,
     CancelCall,
     Heartbeat,
+    HeartbeatRequest,
     Leaving,
     LeavingAck,
     Message,
@@ -73,6 +74,7 @@
         self.context = context
         self.clock = context.clock
         self.entry = entry
+        self.process = (entry.entry_id, entry.incarnation)
         self.open_stream = open_stream
         self.connection: Connection | None = None
         self.pending_calls: dict[int, PendingCall] = {}
@@ -116,8 +118,7 @@
 
         Returns None if there is no connection.
         """
-        process = (self.entry.entry_id, self.entry.incarnation)
-        connections = (self.connection, self.context.inbound.get(process))
+        connections = (self.connection, self.context.inbound.get(self.process))
         return max(
             (each.last_received_at for each in connections if each),
             default=None,
@@ -132,6 +133,7 @@
         call = PendingCall()
         self.pending_calls[number] = call
         connection.enqueue(Call(number, payload))
+        connection.check()
         try:
             with self.clock.move_on_after(timeout):
                 await call.settled.wait()
@@ -164,6 +166,9 @@
         heard_at = self.last_heard()
         if self.refused or heard_at is None:
             return False
+        inbound = self.context.inbound.get(self.process)
+        if inbound and inbound.silence.is_reply_pending:
+            return True
         silent_ms = self.clock.now() - heard_at
         return silent_ms < self.context.settings['silence']
 
@@ -209,6 +214,7 @@
                 'Connected to a peer.',
                 peer=self.entry.entry_id,
             )
+            self.context.rates.add(self.entry, connection)
             self.context.notify_watchers(self.entry.entry_id)
             nursery.start_soon(self._send_heartbeats, connection)
             while True:
@@ -217,13 +223,14 @@
     async def _send_heartbeats(self, connection: Connection) -> None:
         while True:
             connection.enqueue(Heartbeat(()))
-            await self.clock.sleep(self.context.settings['heartbeat'])
+            await connection.timer.wait()
 
     def _on_connection_lost(self) -> None:
         if self.connection is None:
             return
         self.connection = None
         self.lost_connections += 1
+        self.context.rates.remove(self.process)
         for call in self.pending_calls.values():
             call.settle(CONNECTION_LOST)
         self.pending_calls.clear()
@@ -250,10 +257,16 @@
         for payload in message.updates:
             self.context.dispatch_payload(self.entry.entry_id, payload)
 
+    @_on_message.register
+    def _on_heartbeat_request(self, message: HeartbeatRequest) -> None:
+        if self.connection:
+            self.connection.timer.request(message.factor)
+
     @_on_message.register
     def _on_leaving(self, message: Leaving) -> None:
         self.leaving = True
         if self.connection:
             self.connection.enqueue(LeavingAck())
         self.context.log.note('A peer is leaving.', peer=self.entry.entry_id)
+        self.context.rates.check()
         self.context.notify_watchers(self.entry.entry_id)
--- a/cyclamenshift/peers/stream.py
+++ b/cyclamenshift/peers/stream.py
@@ -112,6 +112,8 @@
 
     async def announce_leaving(self) -> None:
         """Ask every peer to send no more calls."""
+        # A connection that is silent must not delay the stop.
+        self.context.rates.resize(0)
         for session in tuple(self.sessions):
             session.send_leaving()
 
@@ -189,10 +191,19 @@
         """Call *watcher* with the id of a peer that connects or goes away."""
         self.context.watchers.append(watcher)
 
+    def change_rate(self, entry_id: str, *, full: bool) -> None:
+        """Set whether the loss of a peer must be found soon."""
+        link = self.links.get(entry_id)
+        if link:
+            # The process of a peer that is leaving may end at any time.
+            self.context.rates.change_rate(
+                link.process, full=full or link.leaving
+            )
+
     def flush_updates(self) -> None:
         """Send the status updates now instead of at the next heartbeat."""
         for session in self.sessions:
-            session.flush_requested.set()
+            session.connection.timer.request()
 
     def dump(self) -> Dump:
         """Return the state of each peer's connection and its open calls."""
@@ -203,6 +214,9 @@
                 'leaving': link.leaving,
                 'calls': len(link.pending_calls),
                 'lost_connections': link.lost_connections,
+                'heartbeat_factor': (
+                    link.connection.silence.factor if link.connection else None
+                ),
                 'heard_ms_ago': (
                     now - link.connection.last_received_at
                     if link.connection
@@ -235,6 +249,8 @@
         while True:
             changed = self.membership.changed
             members = set(self.membership.registered.values())
+            if not self.kernel.draining:
+                self.context.rates.resize(len(members))
             for removed in links.keys() - members:
                 links.pop(removed).retire()
             for added in members - links.keys():
--- a/cyclamenshift/rows.py
+++ b/cyclamenshift/rows.py
@@ -71,7 +71,8 @@
     """
     ``entry/ID``: the address at which an entry VM accepts its peers.
 
-    ``answers_probes`` is absent in the rows of earlier versions.
+    ``answers_probes`` and ``adjusts_heartbeats`` are absent in the rows of
+    earlier versions.
     """
 
     data_centre: str
@@ -80,6 +81,7 @@
     incarnation: str
     size: int
     answers_probes: NotRequired[bool]
+    adjusts_heartbeats: NotRequired[bool]
 
 
 class ClaimRow(TypedDict):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -30,6 +30,7 @@
     Call,
     CancelCall,
     Heartbeat,
+    HeartbeatRequest,
     Hello,
     Leaving,
     LeavingAck,
@@ -57,6 +58,7 @@
 MESSAGES: tuple[Message, ...] = (
     Hello(1, 'entry-1', 'first'),
     Heartbeat(EXAMPLES),
+    HeartbeatRequest(8),
     Call(1, EXAMPLES[0]),
     *(Reply(1, example) for example in EXAMPLES),
     Notification(EXAMPLES[-1]),
