Send something on a quiet connection, and watch peers that are leaving

A leaving peer that had given up its domains was asked for few heartbeats while it still answered calls; its loss must be found soon as well.

--- a/cyclamenshift/peers/rates.py
+++ b/cyclamenshift/peers/rates.py
@@ -16,6 +16,7 @@
 
 from ..decisions.heartbeats import interval_factor
 from ..model import EntryVm
+from ..peer import Heartbeat
 from .connection import Connection
 
 #: The entry VM id and the incarnation of a process.
@@ -48,7 +49,9 @@
     def add(self, entry: EntryVm, connection: Connection) -> None:
         """Add the connection to a peer, which is at the full rate."""
         process = (entry.entry_id, entry.incarnation)
-        connection.silence.on_change = partial(self._on_silence, process)
+        connection.silence.on_change = partial(
+            self._on_silence, process, connection
+        )
         if entry.adjusts_heartbeats:
             self.outbound[process] = connection
             self.full_rate.add(process)
@@ -90,10 +93,12 @@
         for connection in self.outbound.values():
             connection.check()
 
-    def _on_silence(self, process: Process) -> None:
-        connection = self.outbound.get(process)
+    def _on_silence(self, process: Process, connection: Connection) -> None:
         self.update_inbound(process)
-        if connection is None or connection.silence.quiet:
+        if connection.silence.quiet:
+            # A host that refuses what belongs to a lost connection shows it
+            # only when something is sent.
+            connection.enqueue(Heartbeat(()))
             self.check()
 
     def _update(self, process: Process) -> None:
--- a/tests/test_peer_heartbeats.py
+++ b/tests/test_peer_heartbeats.py
@@ -169,6 +169,22 @@
         await job_cluster.wait_until(job_cluster.all_owned)
 
 
+async def test_lost_connection_is_found_by_sending(
+    job_cluster: JobCluster, autojump_clock: MockClock
+) -> None:
+    """A peer that seldom sends does not notice that its data is refused."""
+    await _start(job_cluster, 8)
+    owner = job_cluster.owner('desk')
+    job_cluster.network.disconnected.add(owner)
+    elapsed = await _measure_until(
+        lambda: all(
+            owner not in _peer(job_cluster, entry_id).reachable()
+            for entry_id in job_cluster.entries.keys() - {owner}
+        )
+    )
+    assert elapsed <= HEARTBEATS_HEARD * HEARTBEAT_MS + MARGIN_MS
+
+
 async def test_idle_entry_vms_that_die_with_an_owner_are_found(
     job_cluster: JobCluster, autojump_clock: MockClock
 ) -> None:
@@ -315,6 +331,25 @@
     assert elapsed <= LOSS_MS + RECONNECT_DELAY_MS
 
 
+async def test_leaving_owner_sends_at_the_full_rate(
+    job_cluster: JobCluster, autojump_clock: MockClock
+) -> None:
+    """Calls that it still answers must not wait long for a dead host."""
+    await _start(job_cluster, 8)
+    owner = job_cluster.owner('desk')
+    others = job_cluster.entries.keys() - {owner}
+    kernel = job_cluster.entries[owner].kernel
+    kernel.draining = True
+    await _peer(job_cluster, owner).announce_leaving()
+    await job_cluster.entries[owner].ownership.announce_leaving()
+    await trio.sleep(HEARTBEAT_MS / MS_PER_SECOND)
+    assert not owned_domains(job_cluster)[owner]
+    for entry_id in others:
+        connection = _peer(job_cluster, entry_id).links[owner].connection
+        assert connection
+        assert connection.silence.factor == 1
+
+
 async def test_stop_does_not_wait_for_a_silent_idle_peer(
     job_cluster: JobCluster, autojump_clock: MockClock
 ) -> None:
