--- a/bench/row_sizes.py
+++ b/bench/row_sizes.py
@@ -21,7 +21,6 @@
 from cyclamenshift.platform.rows import encode_transaction, size_of_value
 from cyclamenshift.scheduling.job_rows import JobRows, RowLimit
 from cyclamenshift.store import Check, Transaction, Write
-
 from tests.builders import WALL_START, job, queue, step
 
 #: A service's jobs at a take-over.
