Count what a service keeps until its reduced allotment is reported

The ledger counted only the new amount of a service whose allotment was reduced. Until the answer arrived, the service could still start tasks up to the amount that it had reported as kept, and the ledger gave the difference to other services.

--- a/cyclamenshift/decisions/accounts/limits.py
+++ b/cyclamenshift/decisions/accounts/limits.py
@@ -114,7 +114,8 @@
         )
         wanted = kept.plus(usage.extra) if may_grow else usage.kept
         amount = smaller_of(wanted, room)
-        by_service[service] = larger_of(amount, usage.used)
+        # Until the service has the answer, it may start up to what it keeps.
+        by_service[service] = larger_of(amount, kept)
         return AllottedAmount(
             usage.account,
             amount,
--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -241,6 +241,24 @@
     assert ledger.total(NAME).cpu == 80_000
 
 
+def test_reduced_allotment_counts_in_full_until_it_is_reported() -> None:
+    """What started while the answer was under way was given away as well."""
+    ledger = LimitLedger(1)
+    services = ('desk', 'billing')
+    running = account_usage(NAME, used=cpu(40_000), kept=cpu(40_000))
+    elsewhere = usage_report(running, service='billing')
+    ledger.apply(elsewhere, accounts_of(90_000), services)
+    keeping = account_usage(NAME, kept=cpu(40_000))
+    ledger.apply(usage_report(keeping), accounts_of(50_000, 2), services)
+    wanted = account_usage(NAME, extra=cpu(90_000))
+    answer = ledger.apply(
+        usage_report(wanted, service='billing', number=2),
+        accounts_of(50_000, 2),
+        services,
+    )
+    assert answer.amounts[0].amount.cpu == 10_000
+
+
 def test_allotment_by_an_earlier_configuration_is_void() -> None:
     """A limit that was cut went on to allow what it had allowed before."""
     allotments = Allotments()
