Don't renew allotments while the ledger misses services

A new ledger answered each service by the newest version of the configuration although it did not know yet what the other ones had, so that an allotment by an earlier, higher limit became valid for the new version.

--- a/cyclamenshift/accountmessages.py
+++ b/cyclamenshift/accountmessages.py
@@ -5,11 +5,15 @@
 The peer messages between the schedulers and the ledger of account limits.
 """
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from .job import Resources
 from .peer import register_payload
 
+#: Stands for the version by which a scheduler got what it keeps.  A ledger
+#: that does not know yet what all services have can't allot by its own one.
+EARLIER_VERSION: Final = 0
+
 
 class AccountUsage(NamedTuple):
     """
@@ -60,7 +64,8 @@
     """
     Answers the report ``number``; ``epoch`` is that of the ledger.
 
-    The amounts were computed by ``version`` of the configuration.
+    The amounts were computed by ``version`` of the configuration, which may be
+    ``EARLIER_VERSION``.
     """
 
     epoch: int
--- a/cyclamenshift/decisions/accounts/allotments.py
+++ b/cyclamenshift/decisions/accounts/allotments.py
@@ -9,6 +9,7 @@
 from typing import Final, NamedTuple
 
 from ...accountmessages import (
+    EARLIER_VERSION,
     AccountUsage,
     Allotment,
     AllottedAmount,
@@ -157,7 +158,8 @@
         if allotment.number != self.number or allotment.epoch < self.epoch:
             return False
         self.epoch = allotment.epoch
-        self.version = allotment.version
+        if allotment.version != EARLIER_VERSION:
+            self.version = allotment.version
         self.amounts = {each.account: each for each in allotment.amounts}
         return True
 
--- a/cyclamenshift/decisions/accounts/limits.py
+++ b/cyclamenshift/decisions/accounts/limits.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection
 
 from ...accountmessages import (
+    EARLIER_VERSION,
     AccountUsage,
     Allotment,
     AllottedAmount,
@@ -69,7 +70,8 @@
             for usage in report.usages
             if (account := catalog.accounts.get(usage.account))
         )
-        return Allotment(self.epoch, report.number, catalog.version, amounts)
+        version = catalog.version if may_grow else EARLIER_VERSION
+        return Allotment(self.epoch, report.number, version, amounts)
 
     def total(self, account: str) -> Resources:
         """Return the sum of what the services may have in use."""
