Ask for what copies need, and for nothing once nothing waits

A scheduler asked the ledger for what runs, a quarter of it in advance, and what waits. The copy of a slow run is not among the waiting tasks, so an account with fewer than four equal runs never got one. The accounts that could not start a task also stayed marked as exhausted after their last task had started or was cancelled: the scheduler reported every 60 ms from then on, and admission control left out their work.

--- a/cyclamenshift/decisions/accounts/allotments.py
+++ b/cyclamenshift/decisions/accounts/allotments.py
@@ -36,13 +36,14 @@
     What may start in one scheduling pass, by account.
 
     ``remaining`` has the resources that are left for the accounts with a
-    limit.  ``exhausted`` are those of which a task could not start.
+    limit, ``needed`` what the largest task, or gang, of an account asks for
+    that could not start.
     """
 
     def __init__(self, remaining: dict[str, Resources]) -> None:
         """Start with *remaining* resources for each account with a limit."""
         self.remaining = remaining
-        self.exhausted: set[str] = set()
+        self.needed: dict[str, Resources] = {}
 
     def select(self, tasks: Iterable[Task]) -> Iterator[Task]:
         """Yield those of *tasks* that may start once they are asked for."""
@@ -59,7 +60,8 @@
         needed = task.step.resources.times(count)
         if self.remaining[account].can_fit(needed):
             return True
-        self.exhausted.add(account)
+        known = self.needed.get(account, NO_RESOURCES)
+        self.needed[account] = larger_of(known, needed)
         return False
 
     def spend(self, placed: Iterable[Task]) -> None:
--- a/cyclamenshift/scheduling/account_limits.py
+++ b/cyclamenshift/scheduling/account_limits.py
@@ -5,7 +5,7 @@
 Keeps the scheduler of one service within the limits of client accounts.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Final
 
 import trio
@@ -21,7 +21,7 @@
     has_grown,
 )
 from ..decisions.accounts.shares import AccountShares, accounts_over_share
-from ..decisions.accounts.usage import limited, resources_by_account
+from ..decisions.accounts.usage import larger_of, limited, resources_by_account
 from ..decisions.tracker import JobTracker
 from ..directory import NO_ACCOUNTS, Account, Directory
 from ..duty import OwnershipTerm
@@ -65,7 +65,8 @@
         self.beyond_share: set[str] = set()
         self.limited_accounts: Mapping[str, Account] = NO_ACCOUNTS
         self.known_limits: Mapping[str, Resources] = {}
-        self.exhausted: set[str] = set()
+        #: What tasks ask for that could not start, by account.
+        self.needed: Mapping[str, Resources] = {}
         self.wanted = trio.Event()
 
     @property
@@ -130,10 +131,15 @@
         used = self.tracker.account_usages.used
         return self.allotments.budget(limits, self.version, used)
 
+    @property
+    def exhausted(self) -> Collection[str]:
+        """The accounts of which a task could not start in the last pass."""
+        return self.needed.keys()
+
     def request(self, budget: StartBudget) -> None:
         """Ask for more for the accounts whose tasks could not start."""
-        self.exhausted = budget.exhausted
-        if budget.exhausted:
+        self.needed = budget.needed
+        if self.exhausted:
             self.wanted.set()
 
     async def run(self) -> None:
@@ -172,10 +178,15 @@
         self.beyond_share.intersection_update(self.tracker.jobs)
         waiting = resources_by_account(self.tracker.waiting.values())
         active = set().union(used, waiting, arrivals)
+        # Copies of slow runs are not among the waiting tasks.
+        needed = self.needed
         demands = {
             account: AccountDemand(
                 used.get(account, NO_RESOURCES),
-                waiting.get(account, NO_RESOURCES),
+                larger_of(
+                    waiting.get(account, NO_RESOURCES),
+                    needed.get(account, NO_RESOURCES),
+                ),
                 arrivals.get(account, 0),
             )
             for account in active.intersection(self.limits)
--- a/cyclamenshift/scheduling/placer.py
+++ b/cyclamenshift/scheduling/placer.py
@@ -60,6 +60,7 @@
         if not self.tracker.waiting:
             self.jobs_without_capacity.clear()
         if not self.tracker.waiting and not slow:
+            self.account_limits.request(NO_LIMITS)
             return
         if not self.state.order_window.ready(self.state.service):
             self.state.order_window.wake_when_ready(self.state.wake)
--- a/tests/test_account_failures.py
+++ b/tests/test_account_failures.py
@@ -7,6 +7,9 @@
 
 from typing import Final
 
+import trio
+from trio.testing import MockClock
+
 from cyclamenshift.decisions.accounts.allotments import (
     AccountDemand,
     Allotments,
@@ -14,9 +17,10 @@
 )
 from cyclamenshift.decisions.accounts.limits import LimitLedger
 from cyclamenshift.directory import Catalog
-from cyclamenshift.job import NO_RESOURCES, Resources
+from cyclamenshift.job import NO_RESOURCES, Resources, TaskId
 
-from .builders import account, catalog
+from .builders import account, catalog, job, step
+from .standins.jobs import JobCluster
 
 NAME: Final = 'account-1'
 SERVICES: Final = ('desk', 'billing')
@@ -53,3 +57,43 @@
     assert allotments.apply(answer)
     assert allotments.allowed(NAME, 1) == cpu(40_000)
     assert allotments.allowed(NAME, 2) == NO_RESOURCES
+
+
+async def test_copy_of_the_only_run_starts_within_the_limit(
+    job_cluster: JobCluster, autojump_clock: MockClock
+) -> None:
+    """
+    The copy of a slow run was never started, with most of the limit free.
+
+    A scheduler asked for a quarter more than what runs, and for the waiting
+    tasks, of which a copy is none.
+    """
+    job_cluster.platform.catalog = accounts_of(6_000)
+    job_cluster.add_workers('desk', 4)
+    entries = await job_cluster.start_all(2)
+    slow = job('job-1', account=NAME, steps=(step(tasks=3, speculative=True),))
+    job_cluster.workers.run_ms[TaskId(slow.job_id, 0, 0, 0)] = 30_000
+    await job_cluster.submit(entries[0], slow)
+    await trio.sleep(6)
+    assert len(job_cluster.workers.started_runs) == 4
+
+
+async def test_no_account_is_exhausted_once_nothing_waits(
+    job_cluster: JobCluster, autojump_clock: MockClock
+) -> None:
+    """A scheduler went on to ask for more every 60 ms after the last start."""
+    job_cluster.platform.catalog = accounts_of(1_000)
+    job_cluster.add_workers('desk', 2)
+    entries = await job_cluster.start_all(2)
+    waiting = job('job-1', account=NAME, steps=(step(tasks=4),))
+    job_cluster.workers.run_ms.update(
+        {TaskId(waiting.job_id, 0, 0, each): 30_000 for each in range(4)}
+    )
+    await job_cluster.submit(entries[0], waiting)
+    await trio.sleep(1)
+    owner = job_cluster.entries[job_cluster.owner('desk')]
+    limits = owner.scheduler.schedulers['desk'].account_limits
+    assert limits.exhausted
+    await job_cluster.cancel(waiting)
+    await trio.sleep(5)
+    assert not limits.exhausted
