Let only the owner of a service replace a refusal

An entry VM that got no answer from the owner wrote the row of the job itself, also in the place of a refusal. If the owner had refused the caller's next try at another entry VM in between, the job ran although the caller had been told that it had not and would not. Such a call now gets 503. A job that was refused before and comes again while its owner does not answer gets it as well, until the owner answers or its refusal is deleted.

--- a/cyclamenshift/controls/job_access.py
+++ b/cyclamenshift/controls/job_access.py
@@ -40,7 +40,7 @@
 from ..store import ABSENT, Unavailable, get_store_client
 from .job_counts import StoredJobCounts
 from .job_places import JobPlaces, Place
-from .job_storing import store_job
+from .job_storing import store_new_job
 from .ownership import Ownership
 from .row_writer import NotWritten, Rival, RowWriter, Written
 
@@ -258,13 +258,14 @@
         """
         Have the owner of *service* write the row, or else write it here.
 
-        That the write here failed tells nothing of the owner's.
+        That the write here failed tells nothing of the owner's.  It never
+        replaces a refusal, which the owner may have made after this call.
         """
         offer = JobOffer(service, job)
         reply = await self.ownership.call_owner(service, offer, wait)
         if isinstance(reply, Written | Rival | NotWritten | JobRefused):
             return reply
-        result: WriteResult = await store_job(self.row_writer, service, job)
+        result: WriteResult = await store_new_job(self.row_writer, service, job)
         if isinstance(result, Written):
             self.ownership.notify_owner(service, JobStored(service, job))
         elif isinstance(result, NotWritten) and _may_be_written(reply):
@@ -318,7 +319,7 @@
     if is_reference(result.row):
         return MaybeStored('another service may have the job')
     if is_refusal(result.row):
-        return MaybeStored('the job was refused and submitted at once')
+        return MaybeStored('the job was refused by a call at the same time')
     existing = decode_row(result.row, JobRow)['job']
     return Stored() if existing.same_as(job) else Different()
 
--- a/cyclamenshift/controls/job_storing.py
+++ b/cyclamenshift/controls/job_storing.py
@@ -23,6 +23,14 @@
     return await _write(row_writer, service, job.job_id, job_row(job))
 
 
+async def store_new_job(
+    row_writer: RowWriter, service: str, job: Job
+) -> Written | Rival | NotWritten:
+    """Store *job* at *service* unless there is a row, also of a refusal."""
+    key = job_key(service, job.job_id)
+    return await row_writer.write(key, ABSENT, job_row(job))
+
+
 async def store_refusal(
     row_writer: RowWriter, service: str, job: Job, wall_time: int
 ) -> Written | Rival | NotWritten:
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -12,6 +12,7 @@
 from trio.testing import MockClock
 
 from cyclamenshift.controls.job_access import (
+    MaybeStored,
     NoSuchJob,
     NotAdmitted,
     Stored,
@@ -192,3 +193,22 @@
     """Return whether the store has a row."""
     row = job_cluster.store.table.rows.get(key)
     return row is not None and row.version != 0
+
+
+async def test_write_without_the_owner_does_not_replace_a_refusal(
+    job_cluster: JobCluster, autojump_clock: MockClock
+) -> None:
+    """
+    A job ran although its caller was told that it had not and would not.
+
+    One entry VM was about to store the job, after the owner had not answered
+    it, when the owner refused the job to the caller's next try elsewhere.
+    """
+    entry = await start_short_cluster(job_cluster)
+    refused = heavy_job(9, tasks=1)
+    assert isinstance(await submit(job_cluster, entry, refused), NotAdmitted)
+    entry.ownership.peer_domains.clear()
+    result = await submit(job_cluster, entry, refused)
+    assert isinstance(result, MaybeStored)
+    await trio.sleep(30)
+    assert not runs_of(job_cluster, refused)
