Report what runs for accounts without a limit as well

A scheduler whose configuration had no limit for an account reported nothing for it, and the ledger, which knew of a limit already, took that for nothing in use: another service could have the whole limit beside what ran. That lasted until the first scheduler had the new version and had reached the ledger.

--- a/cyclamenshift/decisions/accounts/allotments.py
+++ b/cyclamenshift/decisions/accounts/allotments.py
@@ -5,7 +5,7 @@
 Keeps a scheduler within what it may have in use for each account.
 """
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Container, Iterable, Iterator, Mapping
 from typing import Final, NamedTuple
 
 from ...accountmessages import (
@@ -192,10 +192,13 @@
         return self.used.plus(self.waiting).plus(advance)
 
 
-def has_grown(report: UsageReport, allotment: Allotment) -> bool:
+def has_grown(
+    report: UsageReport, allotment: Allotment, limited_accounts: Container[str]
+) -> bool:
     """Return whether *allotment* allows more than *report* has kept."""
     kept = {usage.account: usage.kept for usage in report.usages}
     return any(
-        not kept[each.account].can_fit(each.amount)
+        each.account in limited_accounts
+        and not kept[each.account].can_fit(each.amount)
         for each in allotment.amounts
     )
--- a/cyclamenshift/scheduling/account_limits.py
+++ b/cyclamenshift/scheduling/account_limits.py
@@ -167,7 +167,7 @@
             return EXHAUSTED_PAUSE_MS
         if not self.allotments.apply(answer):
             return EXHAUSTED_PAUSE_MS
-        if not has_grown(report, answer):
+        if not has_grown(report, answer, self.limits):
             return EXHAUSTED_PAUSE_MS
         self.wake()
         return GROWING_PAUSE_MS
@@ -180,6 +180,8 @@
         active = set().union(used, waiting, arrivals)
         # Copies of slow runs are not among the waiting tasks.
         needed = self.needed
+        # Accounts without a limit are reported too, as a newer version, which
+        # the ledger may know already, may give them one.
         demands = {
             account: AccountDemand(
                 used.get(account, NO_RESOURCES),
@@ -189,7 +191,7 @@
                 ),
                 arrivals.get(account, 0),
             )
-            for account in active.intersection(self.limits)
+            for account in active
         }
         owner = ReportOwner(self.term.domain, self.term.epoch)
         return self.allotments.report(owner, self.version, demands)
--- a/tests/test_account_failures.py
+++ b/tests/test_account_failures.py
@@ -17,6 +17,7 @@
 )
 from cyclamenshift.decisions.accounts.limits import LimitLedger
 from cyclamenshift.directory import Catalog
+from cyclamenshift.duties.accounts import AccountsDuty
 from cyclamenshift.job import NO_RESOURCES, Resources, TaskId
 
 from .builders import account, catalog, job, step
@@ -97,3 +98,31 @@
     await job_cluster.cancel(waiting)
     await trio.sleep(5)
     assert not limits.exhausted
+
+
+async def test_runs_from_before_a_limit_are_known_to_the_ledger(
+    job_cluster: JobCluster, autojump_clock: MockClock
+) -> None:
+    """
+    A service got the whole limit beside the runs of another one.
+
+    A scheduler that still had the version without the limit reported nothing
+    for the account, which the ledger took for nothing in use.
+    """
+    job_cluster.platform.catalog = catalog(
+        accounts={
+            NAME: account(NAME),
+            'account-2': account('account-2', limit=cpu(6_000)),
+        }
+    )
+    job_cluster.add_workers('desk', 2)
+    entries = await job_cluster.start_all(2)
+    running = job('job-1', account=NAME, steps=(step(tasks=4),))
+    job_cluster.workers.run_ms.update(
+        {TaskId(running.job_id, 0, 0, each): 30_000 for each in range(4)}
+    )
+    await job_cluster.submit(entries[0], running)
+    await trio.sleep(2)
+    duties = [entry.kernel.get(AccountsDuty) for entry in entries]
+    ledger = next(filter(None, (duty.ledger for duty in duties)))
+    assert ledger.total(NAME).cpu >= 4_000
