--- a/cyclamenshift/scheduling/account_limits.py
+++ b/cyclamenshift/scheduling/account_limits.py
@@ -32,12 +32,14 @@
 #: How long the ledger may take to answer, ms.
 CALL_TIMEOUT_MS: Final = 1_000
 #: The pause after a report while tasks wait for an allotment, ms: first after
-#: an answer that allotted more, then after one that did not.
-GROWING_PAUSE_MS: Final = 10
-EXHAUSTED_PAUSE_MS: Final = 60
+#: an answer that allotted more, then after one that did not.  A service uses
+#: again what it was allotted without a report, so that a pause delays only what
+#: moves between services; a report costs about as much as a third of a run.
+GROWING_PAUSE_MS: Final = 40
+EXHAUSTED_PAUSE_MS: Final = 200
 #: The time between two reports while no task waits for an allotment, ms.  What
 #: is not needed is given back with them, and a new ledger gets the usage.
-IDLE_PAUSE_MS: Final = 300
+IDLE_PAUSE_MS: Final = 500
 #: Nothing may start, not even a task that asks for no resources.
 NOTHING: Final = Resources(-1, -1, -1)
 
--- a/cyclamenshift/scheduling/placer.py
+++ b/cyclamenshift/scheduling/placer.py
@@ -19,7 +19,7 @@
 from ..decisions.overload.worker_states import Rank
 from ..decisions.placement import PlacementRules, may_fit, place
 from ..decisions.progress import Task, WorkerInstance
-from ..decisions.urgency import Ranking, most_urgent_first
+from ..decisions.urgency import NO_RANKING, Ranking, most_urgent_first
 from ..job import NO_RESOURCES
 from .account_limits import AccountLimits
 from .orders import RunStarter
@@ -52,6 +52,7 @@
         self.account_limits = account_limits
         self.next_promotion = 0
         self.budget = NO_LIMITS
+        self.ranking = NO_RANKING
 
     def place(self) -> None:
         """Start the most urgent tasks that fit, then copies of slow runs."""
@@ -67,6 +68,7 @@
             return
         candidates = self._candidates(now)
         self.budget = self.account_limits.budget()
+        self.ranking = self._rank_jobs()
         suspects = Suspects(self.state, self.isolation_waits, now, self.budget)
         single = _take_single(candidates)
         self._start(suspects.place(candidates))
@@ -94,7 +96,7 @@
         urgent = most_urgent_first(
             may_fit(tasks, candidates.values()),
             self.clock.wall_time(),
-            self._ranking(),
+            self.ranking,
         )
         free = self.state.order_window.free(self.state.service)
         placements = place(
@@ -109,7 +111,7 @@
         self._start(placements)
         return placements
 
-    def _ranking(self) -> Ranking:
+    def _rank_jobs(self) -> Ranking:
         """Return what the order of the waiting tasks depends on now."""
         capacity = total_resources(
             [
