Release an allotment of which nothing starts after two seconds

A service kept the part of a limit that it had got for a task or a gang that needs more, without a bound in time. Two services with gangs of two thirds of a limit each held half of it for ever, and nothing ran. Behind lasting runs, a gang that could not start kept the rest of a limit from tasks elsewhere. Now a scheduler gives it back for 200 ms after each 2 s without a start. A large gang may wait longer where another service always has small tasks.

--- a/cyclamenshift/decisions/accounts/allotments.py
+++ b/cyclamenshift/decisions/accounts/allotments.py
@@ -22,6 +22,11 @@
 #: The part of what an account has in use that is asked for in advance, so
 #: that its next tasks need not wait for an answer.
 ADVANCE_DIVISOR: Final = 4
+#: How long an allotment is held of which nothing starts, ms: the longest of the
+#: short tasks end meanwhile, whose room is collected for a larger one.
+MAX_HOLD_MS: Final = 2_000
+#: For how long it is then left to other services, ms: for two of their reports.
+RELEASE_MS: Final = 200
 
 
 class ReportOwner(NamedTuple):
@@ -37,13 +42,14 @@
 
     ``remaining`` has the resources that are left for the accounts with a
     limit, ``needed`` what the largest task, or gang, of an account asks for
-    that could not start.
+    that could not start.  ``started`` are the accounts of which a task starts.
     """
 
     def __init__(self, remaining: dict[str, Resources]) -> None:
         """Start with *remaining* resources for each account with a limit."""
         self.remaining = remaining
         self.needed: dict[str, Resources] = {}
+        self.started: set[str] = set()
 
     def select(self, tasks: Iterable[Task]) -> Iterator[Task]:
         """Yield those of *tasks* that may start once they are asked for."""
@@ -71,6 +77,7 @@
             left = self.remaining.get(account)
             if left is not None:
                 self.remaining[account] = left.minus(task.step.resources)
+                self.started.add(account)
 
 
 #: The budget where no account has a limit.
@@ -175,19 +182,53 @@
         return AccountUsage(account, demand.used, kept, extra, demand.arrivals)
 
 
+class Holds:
+    """
+    Since when accounts have had an allotment of which nothing starts.
+
+    ``needed`` is what tasks ask for that could not start in the last pass.
+    Each service could hold a part of a limit while the task, or the gang, that
+    waits there needs more: then none of them would ever start it.
+    """
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self.since: dict[str, int] = {}
+        self.needed: Mapping[str, Resources] = {}
+
+    def update(self, budget: StartBudget, now: int) -> None:
+        """Record which accounts lacked room in a pass that started nothing."""
+        self.needed = budget.needed
+        stuck = budget.needed.keys() - budget.started
+        self.since = {name: self.since.get(name, now) for name in stuck}
+
+    def must_release(self, account: str, now: int) -> bool:
+        """Return whether an account is to ask for nothing for a moment."""
+        held_for = now - self.since.get(account, now)
+        return held_for % (MAX_HOLD_MS + RELEASE_MS) >= MAX_HOLD_MS
+
+
 class AccountDemand:
     """What the tasks of an account use and ask for at one service."""
 
     def __init__(
-        self, used: Resources, waiting: Resources, arrivals: int
+        self,
+        used: Resources,
+        waiting: Resources,
+        arrivals: int,
+        *,
+        releases: bool = False,
     ) -> None:
         """Describe the runs and the *waiting* tasks of an account."""
+        self.releases = releases
         self.used = used
         self.waiting = waiting
         self.arrivals = arrivals
 
     def useful(self) -> Resources:
         """Return how much could be in use soon."""
+        if self.releases:
+            return self.used
         advance = Resources(*(each // ADVANCE_DIVISOR for each in self.used))
         return self.used.plus(self.waiting).plus(advance)
 
--- a/cyclamenshift/scheduling/account_limits.py
+++ b/cyclamenshift/scheduling/account_limits.py
@@ -16,6 +16,7 @@
 from ..decisions.accounts.allotments import (
     AccountDemand,
     Allotments,
+    Holds,
     ReportOwner,
     StartBudget,
     has_grown,
@@ -65,8 +66,7 @@
         self.beyond_share: set[str] = set()
         self.limited_accounts: Mapping[str, Account] = NO_ACCOUNTS
         self.known_limits: Mapping[str, Resources] = {}
-        #: What tasks ask for that could not start, by account.
-        self.needed: Mapping[str, Resources] = {}
+        self.holds = Holds()
         self.wanted = trio.Event()
 
     @property
@@ -134,11 +134,11 @@
     @property
     def exhausted(self) -> Collection[str]:
         """The accounts of which a task could not start in the last pass."""
-        return self.needed.keys()
+        return self.holds.needed.keys()
 
     def request(self, budget: StartBudget) -> None:
         """Ask for more for the accounts whose tasks could not start."""
-        self.needed = budget.needed
+        self.holds.update(budget, self.clock.now())
         if self.exhausted:
             self.wanted.set()
 
@@ -174,12 +174,13 @@
 
     def _next_report(self) -> UsageReport:
         used = self.tracker.account_usages.used
-        arrivals = self.shares.arrivals(self.clock.now())
+        now = self.clock.now()
+        arrivals = self.shares.arrivals(now)
         self.beyond_share.intersection_update(self.tracker.jobs)
         waiting = resources_by_account(self.tracker.waiting.values())
         active = set().union(used, waiting, arrivals)
         # Copies of slow runs are not among the waiting tasks.
-        needed = self.needed
+        needed = self.holds.needed
         # Accounts without a limit are reported too, as a newer version, which
         # the ledger may know already, may give them one.
         demands = {
@@ -190,6 +191,7 @@
                     needed.get(account, NO_RESOURCES),
                 ),
                 arrivals.get(account, 0),
+                releases=self.holds.must_release(account, now),
             )
             for account in active
         }
--- a/tests/test_account_failures.py
+++ b/tests/test_account_failures.py
@@ -7,6 +7,7 @@
 
 from typing import Final
 
+import pytest
 import trio
 from trio.testing import MockClock
 
@@ -18,7 +19,7 @@
 from cyclamenshift.decisions.accounts.limits import LimitLedger
 from cyclamenshift.directory import Catalog
 from cyclamenshift.duties.accounts import AccountsDuty
-from cyclamenshift.job import NO_RESOURCES, Resources, TaskId
+from cyclamenshift.job import NO_RESOURCES, JobState, Resources, TaskId
 
 from .builders import account, catalog, job, step
 from .standins.jobs import JobCluster
@@ -126,3 +127,61 @@
     duties = [entry.kernel.get(AccountsDuty) for entry in entries]
     ledger = next(filter(None, (duty.ledger for duty in duties)))
     assert ledger.total(NAME).cpu >= 4_000
+
+
+@pytest.mark.parametrize('stagger', [35, 100, 300])
+async def test_gangs_of_two_services_do_not_block_each_other(
+    job_cluster: JobCluster, autojump_clock: MockClock, stagger: int
+) -> None:
+    """Each service held half of the limit for ever, and nothing ran."""
+    job_cluster.platform.catalog = accounts_of(6_000)
+    queues = {'desk': 'checks', 'billing': 'charges'}
+    for service in queues:
+        job_cluster.add_workers(service, 4)
+    entries = await job_cluster.start_all(3)
+    for service, queue in queues.items():
+        first = job(
+            f'first-{service}',
+            queue=queue,
+            account=NAME,
+            steps=(step(tasks=3),),
+        )
+        for each in range(3):
+            task_id = TaskId(first.job_id, 0, 0, each)
+            job_cluster.workers.run_ms[task_id] = 1_000 + stagger * each
+        await job_cluster.submit(entries[0], first)
+    gangs = [
+        job(
+            f'gang-{service}',
+            queue=queue,
+            account=NAME,
+            steps=(step(tasks=4, gang=True),),
+        )
+        for service, queue in queues.items()
+    ]
+    await trio.sleep(0.7)
+    for gang in gangs:
+        await job_cluster.submit(entries[0], gang)
+    with trio.fail_after(10):
+        await job_cluster.wait_for_state(JobState.completed, *gangs)
+
+
+async def test_gang_that_can_not_start_leaves_room_to_other_services(
+    job_cluster: JobCluster, autojump_clock: MockClock
+) -> None:
+    """Half of a limit was held for a gang that lasting tasks kept out."""
+    job_cluster.platform.catalog = accounts_of(6_000)
+    for service in ('desk', 'billing'):
+        job_cluster.add_workers(service, 4)
+    entries = await job_cluster.start_all(3)
+    lasting = job('lasting', account=NAME, steps=(step(tasks=3),))
+    for each in range(3):
+        task_id = TaskId(lasting.job_id, 0, 0, each)
+        job_cluster.workers.run_ms[task_id] = 30_000
+    gang = job('gang', account=NAME, steps=(step(tasks=4, gang=True),))
+    small = job('small', queue='charges', account=NAME)
+    for submitted in (lasting, gang, small):
+        await job_cluster.submit(entries[0], submitted)
+        await trio.sleep(0.5)
+    with trio.fail_after(3):
+        await job_cluster.wait_for_state(JobState.completed, small)
