Share a limit among services by what they want, and confirm the ledger

A superseded owner of the ledger went on to answer. Each behaviour has a test that failed before. No VM is reallocated in a round with other moves.

--- a/cyclamenshift/controls/ownership.py
+++ b/cyclamenshift/controls/ownership.py
@@ -103,10 +103,12 @@
         ]
         return max(owners)[1] if owners else None
 
-    def epoch_of(self, domain: str) -> int:
-        """Return the epoch of the known owner of *domain*, 0 if none."""
+    def latest_epoch(self, domain: str) -> int:
+        """Return the highest epoch of an owner of *domain* known here."""
         owner = self.owner_of(domain)
-        return self._domains_of(owner).get(domain, 0) if owner else 0
+        current = self._domains_of(owner).get(domain, 0) if owner else 0
+        known, _since = self.holders.epochs.get(domain, (0, 0))
+        return max(current, known)
 
     async def call_owner(
         self,
--- a/cyclamenshift/decisions/accounts/limits.py
+++ b/cyclamenshift/decisions/accounts/limits.py
@@ -115,7 +115,8 @@
             effective_limit(account.limit).minus(others), NO_RESOURCES
         )
         wanted = kept.plus(usage.extra) if may_grow else usage.kept
-        amount = smaller_of(wanted, room)
+        part = self._fair_part(usage, effective_limit(account.limit))
+        amount = smaller_of(wanted, smaller_of(room, part))
         # Until the service has the answer, it may start up to what it keeps.
         by_service[service] = larger_of(amount, kept)
         return AllottedAmount(
@@ -124,6 +125,28 @@
             self._arrivals_elsewhere(service, usage.account),
         )
 
+    def _fair_part(self, usage: AccountUsage, limit: Resources) -> Resources:
+        """
+        Return the part of a limit for a service that wants more with others.
+
+        It is in proportion to what each wants.  A service that has more gives
+        the rest back as its runs end.
+        """
+        wanted = _wanted(usage)
+        total = NO_RESOURCES
+        for report in self.reports.values():
+            for each in report.usages:
+                if each.account == usage.account:
+                    total = total.plus(_wanted(each))
+        return Resources(
+            *(
+                amount if all_wanted <= most else most * amount // all_wanted
+                for most, amount, all_wanted in zip(
+                    limit, wanted, total, strict=True
+                )
+            )
+        )
+
     def _arrivals_elsewhere(self, service: str, account: str) -> int:
         return sum(
             usage.arrivals
@@ -132,3 +155,8 @@
             for usage in report.usages
             if usage.account == account
         )
+
+
+def _wanted(usage: AccountUsage) -> Resources:
+    """Return what a service has in use for an account and could use soon."""
+    return larger_of(usage.used, usage.kept).plus(usage.extra)
--- a/cyclamenshift/decisions/overload/reallocation.py
+++ b/cyclamenshift/decisions/overload/reallocation.py
@@ -9,7 +9,7 @@
 with jobs that are late already, while new jobs wait that could be in time.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Final
 
 from ..lending import (
@@ -48,24 +48,25 @@
     ) -> list[ProposedMove]:
         """Return the moves that meet the demand of all pools."""
         moves = super().propose_moves(pools, now)
-        given = {move.vm_id for move in moves}
+        if moves:
+            # These change what each pool has, so the next round decides.
+            return moves
         lent = {name: pool for name, pool in pools.items() if not pool.spare}
         required = {
             name: required_vms(_without_deferred(pool))
             for name, pool in lent.items()
         }
-        if not self._is_short(pools, lent, required, moves, now):
-            return moves
+        if not self._is_short(pools, lent, required, now):
+            return []
         supply = [
             vm_id
             for name, pool in lent.items()
             for vm_id in _supply(pool, _spared(name, lent, required))
-            if vm_id not in given
         ]
         homes = {
             vm.vm_id: name for name, pool in lent.items() for vm in pool.vms
         }
-        return moves + [
+        return [
             move
             for move in share_out(supply, lent, required)
             if homes[move.vm_id] != move.pool
@@ -76,16 +77,11 @@
         pools: Mapping[str, PoolView],
         lent: Mapping[str, PoolView],
         required: Mapping[str, int],
-        moves: Iterable[ProposedMove],
         now: int,
     ) -> bool:
         """Return whether jobs have waited for VMs that no spare pool has."""
-        given = {move.vm_id for move in moves}
         has_spare = any(
-            vm_id not in given
-            for pool in pools.values()
-            if pool.spare
-            for vm_id in empty_vms(pool)
+            pool.spare and empty_vms(pool) for pool in pools.values()
         )
         lacks = any(
             len(pool.vms) < required[name] and any(_urgent(pool))
--- a/cyclamenshift/duties/accounts.py
+++ b/cyclamenshift/duties/accounts.py
@@ -33,6 +33,7 @@
         super().__init__(kernel)
         self.directory = kernel.get(Directory)
         self.ledger: LimitLedger | None = None
+        self.ownership: OwnershipCheck | None = None
         self.outcomes = kernel.metrics.load.overload.accounts
         kernel.get(Peer).add_call_handler(UsageReport, self._on_usage_report)
 
@@ -43,12 +44,14 @@
     async def serve(self, term: OwnershipTerm) -> None:
         """Keep the ledger until cancelled."""
         self.ledger = LimitLedger(term.epoch)
+        self.ownership = OwnershipCheck(
+            self.clock, get_store_client(self.kernel), term
+        )
         try:
-            await OwnershipCheck(
-                self.clock, get_store_client(self.kernel), term
-            ).keep_confirmed()
+            await self.ownership.keep_confirmed()
         finally:
             self.ledger = None
+            self.ownership = None
 
     def dump(self) -> Dump:
         """Return the accounts as known here, and as the ledger divides them."""
@@ -83,5 +86,8 @@
         catalog = self.directory.catalog
         if self.ledger is None or catalog is None:
             return NotOwned()
+        if self.ownership is None or not self.ownership.is_recent:
+            # A later owner may have allotted what this one would.
+            return NotOwned()
         services = set(self.kernel.get(SchedulerDuty).domains(catalog))
         return self.ledger.apply(report, catalog, services)
--- a/cyclamenshift/scheduling/account_limits.py
+++ b/cyclamenshift/scheduling/account_limits.py
@@ -5,7 +5,7 @@
 Keeps the scheduler of one service within the limits of client accounts.
 """
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Collection, Mapping
 from typing import Final
 
 import trio
@@ -22,11 +22,15 @@
     has_grown,
 )
 from ..decisions.accounts.shares import AccountShares, accounts_over_share
-from ..decisions.accounts.usage import larger_of, limited, resources_by_account
-from ..decisions.tracker import JobTracker
+from ..decisions.accounts.usage import (
+    larger_of,
+    limited,
+    resources_by_account,
+    smaller_of,
+)
 from ..directory import NO_ACCOUNTS, Account, Directory
-from ..duty import OwnershipTerm
 from ..job import NO_RESOURCES, Job, Resources
+from .state import ServiceState
 
 #: The domain of the ledger of account limits; no service has this name.
 ACCOUNTS_DOMAIN: Final = '~accounts'
@@ -48,21 +52,14 @@
 class AccountLimits:
     """Reports the usage of accounts, and tells what may start for them."""
 
-    def __init__(
-        self,
-        kernel: Host,
-        tracker: JobTracker,
-        term: OwnershipTerm,
-        wake: Callable[[], None],
-    ) -> None:
-        """Start without any allotment; *wake* is called when it grows."""
+    def __init__(self, kernel: Host, state: ServiceState) -> None:
+        """Start without any allotment; *state* is that of the scheduler."""
         self.kernel = kernel
         self.clock = kernel.clock
         self.directory = kernel.get(Directory)
         self.max_age = kernel.settings['jobs']['configuration_age']
-        self.tracker = tracker
-        self.term = term
-        self.wake = wake
+        self.state = state
+        self.tracker = state.tracker
         self.allotments = Allotments()
         self.shares = AccountShares()
         self.beyond_share: set[str] = set()
@@ -160,7 +157,7 @@
     async def _report(self) -> int:
         """Report once and return how long to pause, ms."""
         ownership = self.kernel.get(Ownership)
-        self.allotments.expect(ownership.epoch_of(ACCOUNTS_DOMAIN))
+        self.allotments.expect(ownership.latest_epoch(ACCOUNTS_DOMAIN))
         report = self._next_report()
         answer = await ownership.call_owner(
             ACCOUNTS_DOMAIN, report, CALL_TIMEOUT_MS
@@ -171,7 +168,7 @@
             return EXHAUSTED_PAUSE_MS
         if not has_grown(report, answer, self.limits):
             return EXHAUSTED_PAUSE_MS
-        self.wake()
+        self.state.wake()
         return GROWING_PAUSE_MS
 
     def _next_report(self) -> UsageReport:
@@ -180,6 +177,7 @@
         arrivals = self.shares.arrivals(now)
         self.beyond_share.intersection_update(self.tracker.jobs)
         waiting = resources_by_account(self.tracker.waiting.values())
+        room = self._room()
         active = set().union(used, waiting, arrivals)
         # Copies of slow runs are not among the waiting tasks.
         needed = self.holds.needed
@@ -189,7 +187,7 @@
             account: AccountDemand(
                 used.get(account, NO_RESOURCES),
                 larger_of(
-                    waiting.get(account, NO_RESOURCES),
+                    smaller_of(waiting.get(account, NO_RESOURCES), room),
                     needed.get(account, NO_RESOURCES),
                 ),
                 arrivals.get(account, 0),
@@ -197,5 +195,19 @@
             )
             for account in active
         }
-        owner = ReportOwner(self.term.domain, self.term.epoch)
+        owner = ReportOwner(self.state.service, self.state.term.epoch)
         return self.allotments.report(owner, self.version, demands)
+
+    def _room(self) -> Resources:
+        """
+        Return the free resources of the workers.
+
+        Tasks beyond that wait for VMs, and must not keep a part of a limit from
+        a service that has room.
+        """
+        room = NO_RESOURCES
+        for instance, session in self.state.sessions.items():
+            if not session.closed:
+                used = self.tracker.used.get(instance, NO_RESOURCES)
+                room = room.plus(session.worker.resources.minus(used))
+        return larger_of(room, NO_RESOURCES)
--- a/cyclamenshift/scheduling/ownership_check.py
+++ b/cyclamenshift/scheduling/ownership_check.py
@@ -53,9 +53,14 @@
         if self.term.check_row(fields, row.version, 'check'):
             self.term.confirm(sent_at)
 
+    @property
+    def is_recent(self) -> bool:
+        """Whether the ownership was confirmed lately."""
+        return self.unconfirmed_for() <= MAX_UNCONFIRMED_MS
+
     async def is_confirmed(self) -> bool:
         """Return whether the ownership was confirmed lately, or is now."""
-        if self.unconfirmed_for() <= MAX_UNCONFIRMED_MS:
+        if self.is_recent:
             return True
         asked_at = self.clock.now()
         await self.check()
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -63,9 +63,7 @@
         self.tracker = self.state.tracker
         self.clock = kernel.clock
         self.directory = kernel.get(Directory)
-        self.account_limits = AccountLimits(
-            kernel, self.tracker, term, self.state.wake
-        )
+        self.account_limits = AccountLimits(kernel, self.state)
         self.refused_jobs = RefusedJobs(self.state)
         self.admission = JobAdmission(kernel, self.state, self.account_limits)
         self.job_reader = JobReader(
--- a/tests/test_account_cluster.py
+++ b/tests/test_account_cluster.py
@@ -11,12 +11,14 @@
 import trio
 from trio.testing import MockClock
 
+from cyclamenshift.accountmessages import Allotment
 from cyclamenshift.clock import MS_PER_SECOND
 from cyclamenshift.directory import Account
 from cyclamenshift.job import Job, JobState, Resources
+from cyclamenshift.jobmessages import NotOwned
 from cyclamenshift.scheduling.account_limits import ACCOUNTS_DOMAIN
 
-from .builders import account, catalog, job, step
+from .builders import account, catalog, job, step, usage_report
 from .standins.account_watch import AccountWatch
 from .standins.jobs import JobCluster
 
@@ -152,3 +154,49 @@
     await job_cluster.wait_for_state(JobState.completed, *jobs)
     assert not watch.exceeded
     nursery.cancel_scope.cancel()
+
+
+async def test_tasks_without_workers_hold_no_part_of_the_limit(
+    job_cluster: JobCluster, nursery: trio.Nursery, autojump_clock: MockClock
+) -> None:
+    """Tasks that waited for VMs kept the limit from a service with room."""
+    set_limit(job_cluster, LIMIT, version=1)
+    job_cluster.add_workers('billing', 4)
+    entries = await job_cluster.start_all(3)
+    lasting = (step(tasks=TASKS, long_running=True),)
+    await job_cluster.submit(
+        entries[0], job('job-1', account='account-1', steps=lasting)
+    )
+    await trio.sleep(2)
+    other = job(
+        'job-2',
+        queue='charges',
+        account='account-1',
+        steps=(step(tasks=TASKS),),
+    )
+    await job_cluster.submit(entries[0], other)
+    with trio.fail_after(10):
+        await job_cluster.wait_for_state(JobState.completed, other)
+    nursery.cancel_scope.cancel()
+
+
+async def test_unconfirmed_ledger_allots_nothing(
+    job_cluster: JobCluster, nursery: trio.Nursery, autojump_clock: MockClock
+) -> None:
+    """A superseded owner allotted what its successor had given away."""
+    await start(job_cluster, nursery)
+    owner = ledger_owner(job_cluster)
+    ownership = next(
+        entry.ownership
+        for entry_id, entry in job_cluster.entries.items()
+        if entry_id != owner
+    )
+    report = usage_report(service='portal')
+    answer = await ownership.call_owner(ACCOUNTS_DOMAIN, report, 500)
+    assert isinstance(answer, Allotment)
+    job_cluster.store.down = True
+    await trio.sleep(3)
+    report = usage_report(service='portal', number=2)
+    answer = await ownership.call_owner(ACCOUNTS_DOMAIN, report, 500)
+    assert isinstance(answer, NotOwned)
+    nursery.cancel_scope.cancel()
--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -297,3 +297,25 @@
     allotments.report(owner, 1, {})
     assert not allotments.apply(late)
     assert allotments.allowed(NAME, 1) == NO_RESOURCES
+
+
+def test_service_that_came_first_gives_back_a_part() -> None:
+    """It kept the whole limit for as long as its tasks waited."""
+    ledger = LimitLedger(1)
+    limits = accounts_of(60_000)
+    services = ('desk', 'billing')
+    first = account_usage(
+        NAME, used=cpu(60_000), kept=cpu(60_000), extra=cpu(30_000)
+    )
+    second = account_usage(NAME, extra=cpu(30_000))
+    ledger.apply(usage_report(first), limits, services)
+    other = usage_report(second, service='billing')
+    assert ledger.apply(other, limits, services).amounts[0].amount.cpu == 0
+    answer = ledger.apply(usage_report(first, number=2), limits, services)
+    assert answer.amounts[0].amount.cpu == 45_000
+    less = account_usage(
+        NAME, used=cpu(45_000), kept=cpu(45_000), extra=cpu(45_000)
+    )
+    ledger.apply(usage_report(less, number=3), limits, services)
+    answer = ledger.apply(other._replace(number=2), limits, services)
+    assert answer.amounts[0].amount.cpu == 15_000
