Let a scheduling pass be computed without any effect

Ranks of workers, tokens of shares, waits of steps, the next promotion, the order in which learned run times were used, checkpoints of gangs and a log line changed while a pass or an admission was only computed. They change now where tasks start or a job is decided; copies and peeks serve those who only look.

--- a/cyclamenshift/decisions/accounts/shares.py
+++ b/cyclamenshift/decisions/accounts/shares.py
@@ -45,6 +45,14 @@
         self.counts: Counter[str] = Counter()
         self.buckets: dict[str, TokenBucket] = {}
 
+    def copy(self) -> 'AccountShares':
+        """Return a copy, whose use leaves these shares as they are."""
+        copied = AccountShares()
+        copied.recent = self.recent.copy()
+        copied.counts = self.counts.copy()
+        copied.buckets = self.buckets.copy()
+        return copied
+
     def arrivals(self, now: int) -> Counter[str]:
         """Return how many jobs of each account came in the last second."""
         while self.recent and self.recent[0][0] <= now - RATE_WINDOW_MS:
--- a/cyclamenshift/decisions/isolation.py
+++ b/cyclamenshift/decisions/isolation.py
@@ -27,6 +27,12 @@
         """Start without suspects."""
         self.since: dict[TaskId, int] = {}
 
+    def copy(self) -> 'IsolationWaits':
+        """Return a copy that can be updated on its own."""
+        copied = IsolationWaits()
+        copied.since = self.since.copy()
+        return copied
+
     def update(self, suspects: Iterable[Task], now: int) -> None:
         """Keep the times of *suspects*, which all wait at *now*, ms."""
         self.since = {
--- a/cyclamenshift/decisions/overload/admission_control.py
+++ b/cyclamenshift/decisions/overload/admission_control.py
@@ -110,11 +110,15 @@
     By then the backlog can be done.  Callers are spread over as much time
     again, so that they do not return together.
     """
-    drain_time = min(
+    earliest = earliest_return(backlog)
+    return earliest + xxhash.xxh64_intdigest(job_id.encode()) % earliest
+
+
+def earliest_return(backlog: Backlog) -> int:
+    """Return when the first of the refused callers should return, ms."""
+    return min(
         max(backlog.drain_time, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS // 2
     )
-    spread = xxhash.xxh64_intdigest(job_id.encode()) % drain_time
-    return drain_time + spread
 
 
 def backlog_of(
@@ -142,6 +146,12 @@
         """Start without waiting steps."""
         self.since: dict[StepId, int] = {}
 
+    def copy(self) -> 'StepWaits':
+        """Return a copy that can be updated on its own."""
+        copied = StepWaits()
+        copied.since = self.since.copy()
+        return copied
+
     def update(self, waiting: Iterable[StepId], now: int) -> dict[StepId, int]:
         """Return how long each step in *waiting* has waited at *now*, ms."""
         self.since = {
--- a/cyclamenshift/decisions/overload/run_times.py
+++ b/cyclamenshift/decisions/overload/run_times.py
@@ -10,6 +10,8 @@
 
 import math
 import statistics
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Final, NamedTuple, TypeAlias
 
 from ..admission import DURATION_LIMIT
@@ -238,6 +240,15 @@
         pair.add(estimate, statistics.fmean(logs), statistics.pvariance(logs))
         self.revision += pair.announce()
 
+    @contextmanager
+    def order_kept(self) -> Iterator[None]:
+        """Let the predictions within not count as uses of their pairs."""
+        pairs = self.pairs.copy()
+        try:
+            yield
+        finally:
+            self.pairs = pairs
+
     def predict(self, queue: str, image: str, estimate: int) -> int:
         """
         Return the typical run time of a task, ms: the median.
--- a/cyclamenshift/decisions/overload/worker_health.py
+++ b/cyclamenshift/decisions/overload/worker_health.py
@@ -112,7 +112,23 @@
         now: int,
         attempts: Mapping[RunId, Attempt] = NO_ATTEMPTS,
     ) -> Rank:
-        """Return the rank of a worker at *now* that has these *attempts*."""
+        """
+        Return the rank of a worker at *now* that has these *attempts*.
+
+        A suspect without new evidence is readmitted.
+        """
+        worker = self.workers.get(instance)
+        if worker and worker.is_cleared(now):
+            self._readmit(worker, 'no new evidence', now)
+        return self.peek_rank(instance, now, attempts)
+
+    def peek_rank(
+        self,
+        instance: WorkerInstance,
+        now: int,
+        attempts: Mapping[RunId, Attempt] = NO_ATTEMPTS,
+    ) -> Rank:
+        """Return the rank of a worker without readmitting it."""
         worker = self.workers.get(instance)
         if worker is None or worker.state is HealthState.healthy:
             return Rank.healthy
@@ -120,8 +136,7 @@
             is_probed = worker.probe in attempts
             waits = is_probed or now < worker.until
             return Rank.unavailable if waits else Rank.probe
-        if now >= worker.until:
-            self._readmit(worker, 'no new evidence', now)
+        if worker.is_cleared(now):
             return Rank.healthy
         return self._rank_suspect(worker, attempts.values())
 
--- a/cyclamenshift/decisions/overload/worker_states.py
+++ b/cyclamenshift/decisions/overload/worker_states.py
@@ -93,6 +93,10 @@
         """Whether its run times are the reason why it is suspected."""
         return self.state is HealthState.suspected and not self.failing
 
+    def is_cleared(self, now: int) -> bool:
+        """Return whether it was suspected, without new evidence since."""
+        return self.state is HealthState.suspected and now >= self.until
+
     def predates(self, run: EndedRun, now: int) -> bool:
         """Return whether a run that ends started before the readmission."""
         if not self.readmitted_at or run.run_time is None:
--- a/cyclamenshift/decisions/placement.py
+++ b/cyclamenshift/decisions/placement.py
@@ -184,23 +184,28 @@
     """
     Return placements for the whole gang of *task*, or none at all.
 
-    All members start under the same run number and checkpoint.
+    All members start under the same run number.
     """
     members = task.job.siblings(task)
     if not all(member.waiting for member in members):
         return []
     number = max(member.last_run for member in members) + 1
-    checkpoints = (member.checkpoint for member in members)
-    checkpoint = next(filter(None, checkpoints), '')
     for group in _rack_groups(task.step, candidates):
         placements = _place_all(members, group, number)
         if placements:
-            for member in members:
-                member.checkpoint = checkpoint
             return placements
     return []
 
 
+def share_checkpoint(task: Task) -> None:
+    """Let the gang of *task*, which is about to start, resume from one."""
+    members = task.job.siblings(task)
+    checkpoints = (member.checkpoint for member in members)
+    checkpoint = next(filter(None, checkpoints), '')
+    for member in members:
+        member.checkpoint = checkpoint
+
+
 def _rack_groups(
     step: Step,
     candidates: Collection[Candidate],
--- a/cyclamenshift/decisions/urgency.py
+++ b/cyclamenshift/decisions/urgency.py
@@ -107,6 +107,16 @@
 ) -> Iterator[Task]:
     """Yield *tasks* sorted by urgency, which the tasks of a step share."""
     groups = group_by_step(tasks)
+    for _urgency, step_id in rank_steps(groups, wall_time, ranking):
+        yield from sorted(groups[step_id], key=_task_id)
+
+
+def rank_steps(
+    groups: Mapping[StepId, Sequence[Task]],
+    wall_time: int,
+    ranking: Ranking = NO_RANKING,
+) -> list[tuple[Urgency, StepId]]:
+    """Return the sort keys of the steps of *groups*, most urgent first."""
     delays = delays_caused(groups, ranking.capacity)
     keyed = []
     for step_id, group in groups.items():
@@ -116,8 +126,7 @@
     keyed.sort()
     if ranking.promotes:
         _promote_latest(keyed)
-    for _urgency, step_id in keyed:
-        yield from sorted(groups[step_id], key=_task_id)
+    return keyed
 
 
 def late_groups(
--- a/cyclamenshift/scheduling/account_limits.py
+++ b/cyclamenshift/scheduling/account_limits.py
@@ -5,7 +5,7 @@
 Keeps the scheduler of one service within the limits of client accounts.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 import trio
@@ -85,21 +85,30 @@
 
     def is_within_share(self, name: str) -> bool:
         """Return whether a job that comes now is within its account's share."""
-        account = self.accounts.get(name)
-        if account is None:
-            return True
-        elsewhere = self.allotments.elsewhere(name)
-        return self.shares.has_room(account, elsewhere, self.clock.now())
+        return self._has_room(self.shares, name)
+
+    def would_be_within_share(self, name: str) -> bool:
+        """Return the same without any effect on the shares."""
+        return self._has_room(self.shares.copy(), name)
+
+    def over_share(
+        self, capacity: Resources, joining: Iterable[str] = ()
+    ) -> frozenset[str]:
+        """
+        Return the accounts that have more than their part of the pool.
 
-    def over_share(self, capacity: Resources) -> frozenset[str]:
-        """Return the accounts that have more than their part of the pool."""
+        The accounts *joining* have tasks that wait, besides those tracked.
+        """
         if not self.accounts:
             return frozenset()
         waiting = {
             task.job.job.account for task in self.tracker.waiting.values()
         }
         return accounts_over_share(
-            self.tracker.account_usages.used, waiting, self.accounts, capacity
+            self.tracker.account_usages.used,
+            waiting.union(joining),
+            self.accounts,
+            capacity,
         )
 
     @property
@@ -166,6 +175,13 @@
         self.wake()
         return GROWING_PAUSE_MS
 
+    def _has_room(self, shares: AccountShares, name: str) -> bool:
+        account = self.accounts.get(name)
+        if account is None:
+            return True
+        elsewhere = self.allotments.elsewhere(name)
+        return shares.has_room(account, elsewhere, self.clock.now())
+
     def _next_report(self) -> UsageReport:
         used = self.tracker.account_usages.used
         arrivals = self.shares.arrivals(self.clock.now())
--- a/cyclamenshift/scheduling/admission.py
+++ b/cyclamenshift/scheduling/admission.py
@@ -22,7 +22,7 @@
     needs_of,
 )
 from ..decisions.progress import JobProgress
-from ..directory import Directory
+from ..directory import Directory, Queue
 from ..job import Job
 from .account_limits import AccountLimits
 from .state import ServiceState
@@ -35,6 +35,13 @@
     due: int
 
 
+class Preview(NamedTuple):
+    """What would be decided about a job, and the work that waits."""
+
+    admission: Admission
+    backlog: Backlog
+
+
 class JobAdmission:
     """Decides about the jobs that are offered to the owner of a service."""
 
@@ -57,14 +64,10 @@
 
         One that is tracked was stored before, and is never refused.
         """
-        catalog = self.directory.catalog
-        queue = catalog.queues.get(job.queue) if catalog else None
-        is_known = job.job_id in self.state.tracker.jobs
-        if not self.is_active or queue is None or is_known:
+        queue = self._controlled_queue(job)
+        if queue is None:
             return Admitted()
-        if job.occurrences or any(step.long_running for step in job.steps):
-            return Admitted()
-        backlog = self.backlog()
+        backlog = self.backlog(self.waits)
         self._check_refusals(backlog)
         progress = JobProgress(job, queue, self.state.tracker.run_times)
         needs = needs_of(
@@ -75,8 +78,23 @@
         self._record(job, admission, backlog, needs.objective)
         return admission
 
-    def backlog(self) -> Backlog:
-        """Return the work within the shares of accounts that waits now."""
+    def preview(self, progress: JobProgress) -> Preview:
+        """Return what would be decided about a job, without any effect."""
+        backlog = self.backlog(self.waits.copy())
+        if self._controlled_queue(progress.job) is None:
+            return Preview(Admitted(), backlog)
+        within_share = self.account_limits.would_be_within_share(
+            progress.job.account
+        )
+        needs = needs_of(progress, within_share=within_share)
+        return Preview(decide(needs, backlog), backlog)
+
+    def backlog(self, step_waits: StepWaits) -> Backlog:
+        """
+        Return the work within the shares of accounts that waits now.
+
+        *step_waits* is updated by it.
+        """
         beyond = self.account_limits.beyond_share
         exhausted = self.account_limits.exhausted
         tasks = [
@@ -87,7 +105,7 @@
             and not task.step.long_running
         ]
         groups = group_by_step(tasks)
-        waits = self.waits.update(groups, self.clock.now())
+        waits = step_waits.update(groups, self.clock.now())
         capacity = total_resources(
             [
                 session.worker.resources
@@ -97,6 +115,17 @@
         )
         return backlog_of(groups, waits, capacity.cpu)
 
+    def _controlled_queue(self, job: Job) -> Queue | None:
+        """Return the queue of a job that may be refused, None for others."""
+        catalog = self.directory.catalog
+        queue = catalog.queues.get(job.queue) if catalog else None
+        is_known = job.job_id in self.state.tracker.jobs
+        if not self.is_active or queue is None or is_known:
+            return None
+        if job.occurrences or any(step.long_running for step in job.steps):
+            return None
+        return queue
+
     def _check_refusals(self, backlog: Backlog) -> None:
         """Count the refused jobs whose time has come by whether they fitted."""
         now = self.clock.now()
--- a/cyclamenshift/scheduling/health_monitor.py
+++ b/cyclamenshift/scheduling/health_monitor.py
@@ -86,6 +86,16 @@
         self._log_changes()
         return rank
 
+    def peek_rank(
+        self,
+        instance: WorkerInstance,
+        attempts: Mapping[RunId, Attempt] = NO_ATTEMPTS,
+    ) -> Rank:
+        """Return the rank of a worker without changing its health."""
+        if self.health is None:
+            return Rank.healthy
+        return self.health.peek_rank(instance, self.clock.now(), attempts)
+
     def record_start(self, attempt: Attempt) -> None:
         """Take note of a run that is about to start."""
         if self.health:
--- a/cyclamenshift/scheduling/placer.py
+++ b/cyclamenshift/scheduling/placer.py
@@ -5,22 +5,27 @@
 Places the waiting tasks of one service and starts them.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 from itertools import chain
-from typing import Final
+from typing import Final, TypeAlias
 
 import trio
 
-from ..decisions.accounts.allotments import NO_LIMITS
+from ..decisions.accounts.allotments import NO_LIMITS, StartBudget
 from ..decisions.candidates import Candidate, Placement
 from ..decisions.copies import SlowRun, slow_runs
 from ..decisions.isolation import IsolationWaits
 from ..decisions.lending import total_resources
 from ..decisions.overload.worker_states import Rank
-from ..decisions.placement import PlacementRules, may_fit, place
-from ..decisions.progress import Task, WorkerInstance
+from ..decisions.placement import (
+    PlacementRules,
+    may_fit,
+    place,
+    share_checkpoint,
+)
+from ..decisions.progress import Attempt, Task, WorkerInstance
 from ..decisions.urgency import Ranking, most_urgent_first
-from ..job import NO_RESOURCES
+from ..job import NO_RESOURCES, RunId
 from .account_limits import AccountLimits
 from .orders import RunStarter
 from .state import ServiceState
@@ -32,6 +37,9 @@
 #: of each is bounded, and jobs that can be in time get nearly all capacity.
 PROMOTION_INTERVAL_MS: Final = 1_000
 
+#: Returns the rank of a worker that has these attempts.
+RankOf: TypeAlias = Callable[[WorkerInstance, Mapping[RunId, Attempt]], Rank]
+
 
 class Placer:
     """Starts waiting tasks, as many as the order window allows."""
@@ -64,16 +72,11 @@
         if not self.state.order_window.ready(self.state.service):
             self.state.order_window.wake_when_ready(self.state.wake)
             return
-        candidates = self._candidates(now)
+        candidates = self.candidates(now, self.state.health.rank)
         self.budget = self.account_limits.budget()
         suspects = Suspects(self.state, self.isolation_waits, now, self.budget)
-        single = _take_single(candidates)
         self._start(suspects.place(candidates))
-        candidates.update(
-            (instance, candidate)
-            for instance, candidate in single.items()
-            if instance not in suspects.probation
-        )
+        suspects.log_companies()
         self._place_most_urgent(suspects.others, candidates)
         if self.state.order_window.free(self.state.service):
             self._log_capacity_shortage(candidates)
@@ -84,32 +87,37 @@
         self._log_copies(slow, copies)
         self.account_limits.request(self.budget)
 
-    def _place_most_urgent(
-        self,
-        tasks: Iterable[Task],
-        candidates: dict[WorkerInstance, Candidate],
-    ) -> list[Placement]:
-        """Place and start as many tasks as the order window allows."""
-        urgent = most_urgent_first(
-            may_fit(tasks, candidates.values()),
-            self.clock.wall_time(),
-            self._ranking(),
-        )
-        free = self.state.order_window.free(self.state.service)
-        placements = place(
-            urgent,
-            candidates,
-            free,
-            rules=PlacementRules(
-                self.budget,
-                self._rack_of if self.state.health.enabled else None,
-            ),
-        )
-        self._start(placements)
-        return placements
+    def candidates(
+        self, now: int, rank_of: RankOf
+    ) -> dict[WorkerInstance, Candidate]:
+        """Return the workers that accept tasks, ranked by *rank_of*."""
+        if not self.state.knows_workers:
+            return {}
+        return {
+            instance: Candidate(
+                session.worker,
+                session.worker.resources.minus(
+                    self.tracker.used.get(instance, NO_RESOURCES)
+                ),
+                rank,
+            )
+            for instance, session in self.state.sessions.items()
+            if session.usable(now)
+            and (
+                rank := rank_of(
+                    instance,
+                    self.tracker.attempts_by_worker.get(instance, {}),
+                )
+            )
+            is not Rank.unavailable
+        }
+
+    def ranking(self, *joining: str) -> Ranking:
+        """
+        Return what the order of the waiting tasks depends on now.
 
-    def _ranking(self) -> Ranking:
-        """Return what the order of the waiting tasks depends on now."""
+        The accounts *joining* have tasks that wait, besides those tracked.
+        """
         capacity = total_resources(
             [
                 session.worker.resources
@@ -119,20 +127,46 @@
         )
         overload = self.state.kernel.settings['overload']
         by_cost = overload['cost_ordering']
-        now = self.clock.now()
-        promotes = by_cost and now >= self.next_promotion
-        if promotes:
-            self.next_promotion = now + PROMOTION_INTERVAL_MS
+        promotes = by_cost and self.clock.now() >= self.next_promotion
         return Ranking(
             accounts=self.account_limits.accounts,
-            over_share=self.account_limits.over_share(capacity),
+            over_share=self.account_limits.over_share(capacity, joining),
             beyond_share=self.account_limits.beyond_share,
             capacity=capacity.cpu if by_cost else 0,
             promotes=promotes,
         )
 
+    def rules(self, budget: StartBudget) -> PlacementRules:
+        """Return what bounds the placements of a pass with *budget*."""
+        return PlacementRules(
+            budget, self._rack_of if self.state.health.enabled else None
+        )
+
+    def _place_most_urgent(
+        self,
+        tasks: Iterable[Task],
+        candidates: dict[WorkerInstance, Candidate],
+    ) -> list[Placement]:
+        """Place and start as many tasks as the order window allows."""
+        ranking = self.ranking()
+        if ranking.promotes:
+            self.next_promotion = self.clock.now() + PROMOTION_INTERVAL_MS
+        urgent = most_urgent_first(
+            may_fit(tasks, candidates.values()),
+            self.clock.wall_time(),
+            ranking,
+        )
+        free = self.state.order_window.free(self.state.service)
+        placements = place(
+            urgent, candidates, free, rules=self.rules(self.budget)
+        )
+        self._start(placements)
+        return placements
+
     def _start(self, placements: Iterable[Placement]) -> None:
         for placement in placements:
+            if placement.task.step.gang and not placement.task.task_id.ordinal:
+                share_checkpoint(placement.task)
             attempt = self.tracker.plan(
                 placement.task,
                 placement.instance,
@@ -194,40 +228,6 @@
                 workers=len(self.state.sessions),
             )
 
-    def _candidates(self, now: int) -> dict[WorkerInstance, Candidate]:
-        if not self.state.knows_workers:
-            return {}
-        return {
-            instance: Candidate(
-                session.worker,
-                session.worker.resources.minus(
-                    self.tracker.used.get(instance, NO_RESOURCES)
-                ),
-                rank,
-            )
-            for instance, session in self.state.sessions.items()
-            if session.usable(now)
-            and (rank := self._rank(instance)) is not Rank.unavailable
-        }
-
-    def _rank(self, instance: WorkerInstance) -> Rank:
-        attempts = self.tracker.attempts_by_worker.get(instance, {})
-        return self.state.health.rank(instance, attempts)
-
     def _rack_of(self, instance: WorkerInstance) -> str:
         session = self.state.sessions.get(instance)
         return session.worker.rack if session else ''
-
-
-def _take_single(
-    candidates: dict[WorkerInstance, Candidate],
-) -> dict[WorkerInstance, Candidate]:
-    """Remove and return the candidates that get no suspects."""
-    single = {
-        instance: candidate
-        for instance, candidate in candidates.items()
-        if candidate.single
-    }
-    for instance in single:
-        candidates.pop(instance)
-    return single
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -74,6 +74,7 @@
         self.loaded = False
         self.renewed: dict[WorkerInstance, WorkerSession] = {}
         self.nursery: trio.Nursery | None = None
+        self.placer: Placer | None = None
 
     async def run(self) -> None:
         """Load the jobs, then schedule until cancelled."""
@@ -83,14 +84,14 @@
             self.nursery = nursery
             self.loaded = True
             self._start_tasks(nursery)
-            placer = Placer(self.state, nursery, self.account_limits)
+            self.placer = Placer(self.state, nursery, self.account_limits)
             while True:
                 changed = self.state.changed
                 started = self.clock.now()
                 self._open_due_occurrences()
                 self._refresh_schedules()
                 self._evict_leaving_workers(nursery)
-                placer.place()
+                self.placer.place()
                 self._settle_attempts(nursery)
                 self._stop_attempts(nursery)
                 elapsed = self.clock.now() - started
--- a/cyclamenshift/scheduling/suspects.py
+++ b/cyclamenshift/scheduling/suspects.py
@@ -53,6 +53,15 @@
     young_resources: Resources
 
 
+class Company(NamedTuple):
+    """A suspect that starts beside old runs or other suspects."""
+
+    task: Task
+    worker: str
+    old_runs: int
+    suspects: int
+
+
 class Suspects:
     """
     The waiting tasks of one scheduling pass that have to run apart.
@@ -82,6 +91,7 @@
             apart = task.crashes.suspicious and not task.step.gang
             (self.tasks if apart else self.others).append(task)
         waits.update(self.tasks, now)
+        self.companies: list[Company] = []
         self.probation: dict[WorkerInstance, list[Task]] = {}
         self.runs: dict[WorkerInstance, WorkerRuns] = {}
 
@@ -92,8 +102,10 @@
         Place each suspect apart from the tasks that are none.
 
         The workers with a suspect are taken out of *candidates*, and so is
-        the one that is held for the next suspect, if any has to be.
+        the one that is held for the next suspect, if any has to be.  Single
+        candidates get no suspects.
         """
+        single = _take_single(candidates)
         self._find_runs_on_probation()
         if self.tasks:
             self.runs = {
@@ -103,8 +115,26 @@
         for instance in (*self.probation, self.held):
             if instance is not None:
                 candidates.pop(instance, None)
+        candidates.update(
+            (instance, candidate)
+            for instance, candidate in single.items()
+            if instance not in self.probation
+        )
         return self.placements
 
+    def log_companies(self) -> None:
+        """Log the suspects that start beside other short runs."""
+        for company in self.companies:
+            self.state.log.note(
+                'Suspect placed beside other runs.',
+                task=company.task.task_id,
+                crashes=company.task.crashes.in_a_row,
+                worker=company.worker,
+                waited_ms=self.waits.waited(company.task, self.now),
+                old_runs=company.old_runs,
+                suspects=company.suspects,
+            )
+
     def _place_all(self, candidates: dict[WorkerInstance, Candidate]) -> None:
         urgent = most_urgent_first(self.tasks, self.state.clock.wall_time())
         window = self.state.order_window.free(self.state.service)
@@ -143,7 +173,7 @@
             place((task,), chosen, 1, self.placements, rules)
         )
         self.probation.setdefault(instance, []).append(task)
-        self._log_company(task, instance)
+        self._note_company(task, instance)
         return True
 
     def _occupancies(
@@ -219,21 +249,28 @@
         alive_at = session.alive_at(self.now) if session else None
         return attempt.age(alive_at).ms
 
-    def _log_company(self, task: Task, instance: WorkerInstance) -> None:
-        """Log a suspect that starts beside other short runs."""
+    def _note_company(self, task: Task, instance: WorkerInstance) -> None:
         runs = self.runs[instance]
         suspects = len(self.probation[instance]) - 1
         if runs.old or suspects:
-            self.state.log.note(
-                'Suspect placed beside other runs.',
-                task=task.task_id,
-                crashes=task.crashes.in_a_row,
-                worker=instance[0],
-                waited_ms=self.waits.waited(task, self.now),
-                old_runs=runs.old,
-                suspects=suspects,
+            self.companies.append(
+                Company(task, instance[0], runs.old, suspects)
             )
 
 
+def _take_single(
+    candidates: dict[WorkerInstance, Candidate],
+) -> dict[WorkerInstance, Candidate]:
+    """Remove and return the candidates that get no suspects."""
+    single = {
+        instance: candidate
+        for instance, candidate in candidates.items()
+        if candidate.single
+    }
+    for instance in single:
+        candidates.pop(instance)
+    return single
+
+
 def _count_crashes(task: Task) -> int:
     return task.crashes.in_a_row
