--- a/cyclamenshift/decisions/schedules.py
+++ b/cyclamenshift/decisions/schedules.py
@@ -38,7 +38,8 @@
     that both follow the predictions of *run_times*.
     """
     tails = _tails(
-        job.steps, [_typical(job, step, run_times) for step in job.steps]
+        job.steps,
+        [typical_run_time(job, step, run_times) for step in job.steps],
     )
     longest = max(tails, default=0)
     objective = round(queue.stretch * longest) + queue.allowance
@@ -56,7 +57,9 @@
     return work
 
 
-def _typical(job: Job, step: Step, run_times: RunTimeModel | None) -> int:
+def typical_run_time(
+    job: Job, step: Step, run_times: RunTimeModel | None
+) -> int:
     """Return the typical run time of a task of *step*, ms."""
     if run_times is None or step.long_running:
         return step.estimate
--- a/cyclamenshift/duties/scheduler.py
+++ b/cyclamenshift/duties/scheduler.py
@@ -148,10 +148,16 @@
 
     def detail_of(self, job_id: str) -> JobDetail | None:
         """Return the details of a job, None if it is not scheduled here."""
+        scheduler = self.scheduler_of(job_id)
+        if scheduler is None:
+            return None
+        return detail_of(scheduler.state, scheduler.tracker.jobs[job_id])
+
+    def scheduler_of(self, job_id: str) -> ServiceScheduler | None:
+        """Return the scheduler of a job, None if it is not scheduled here."""
         for scheduler in self.schedulers.values():
-            progress = scheduler.tracker.jobs.get(job_id)
-            if progress:
-                return detail_of(scheduler.state, progress)
+            if job_id in scheduler.tracker.jobs:
+                return scheduler
         return None
 
     def _on_job_stored(self, entry_id: str, message: JobStored) -> None:
--- a/cyclamenshift/scheduling/account_limits.py
+++ b/cyclamenshift/scheduling/account_limits.py
@@ -117,6 +117,11 @@
         catalog = self.directory.catalog
         return catalog.version if catalog else 0
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the configuration is recent enough to start by its limits."""
+        return self.directory.catalog_age <= self.max_age
+
     @property
     def limits(self) -> Mapping[str, Resources]:
         """The limits of the accounts that have one, by name."""
@@ -134,7 +139,7 @@
         with a limit, since a newer one may have reduced it.
         """
         limits = self.limits
-        if self.directory.catalog_age > self.max_age:
+        if not self.is_confirmed:
             return StartBudget(dict.fromkeys(limits, NOTHING))
         used = self.tracker.account_usages.used
         return self.allotments.budget(limits, self.version, used)
--- a/cyclamenshift/scheduling/health_monitor.py
+++ b/cyclamenshift/scheduling/health_monitor.py
@@ -53,6 +53,10 @@
         worker = self.health.workers.get(instance) if self.health else None
         return worker is not None and worker.state is not HealthState.healthy
 
+    def is_ejected(self, instance: WorkerInstance) -> bool:
+        """Return whether a worker gets no runs but probes."""
+        return self.health is not None and instance in self.health.ejected
+
     def retain(self, sessions: Mapping[WorkerInstance, WorkerSession]) -> None:
         """Follow the workers that have come and gone."""
         if self.health:
--- a/cyclamenshift/scheduling/worker_session.py
+++ b/cyclamenshift/scheduling/worker_session.py
@@ -134,6 +134,21 @@
         )
         return stays and answers and free and ends_count
 
+    def obstacle(self, now: int) -> str:
+        """Return why no run may be started at it, empty if one may."""
+        if self.usable(now):
+            return ''
+        obstacles = {
+            'gone': self.closed or not self.registered,
+            'leaving': self.leaves_as_planned(now),
+            'not heard of yet': not self.has_reported,
+            'silent': bool(self.misses),
+            'unsettled': bool(self.unsettled),
+            'refusing': now < self.backoff_until,
+        }
+        found = (name for name, applies in obstacles.items() if applies)
+        return next(found, 'unsettled')
+
     def record_miss(self, now: int, *, refused: bool) -> None:
         """Record a call without a report."""
         since = self.silence.since if self.silence else now
