--- a/cyclamenshift/commands/explain.py
+++ b/cyclamenshift/commands/explain.py
@@ -36,7 +36,11 @@
 )
 PLACED: Final = '    {placed} of {tasks} tasks would start now: {workers}'
 WAITING: Final = '    {waiting} of {tasks} tasks wait: {reason}'
-ROOM: Final = 'limit {limit}, allotted here {allotted}, left here {left}'
+ROOM: Final = (
+    'limit {limit}; here allotted {allotted}, running {running}, left {left}'
+)
+#: The fields of an account with amounts of resources.
+AMOUNTS: Final = ('limit', 'allotted', 'running', 'left')
 
 
 @register
@@ -87,23 +91,11 @@
                 'steps': _steps_of(options),
             }
             explained = await call(options, 'POST', '/v1/explain', query)
-        return Report(explained, tuple(_lines_of(explained)))
+        return Report(explained, tuple(format_lines(explained)))
 
 
-def _steps_of(options: argparse.Namespace) -> Any:
-    if options.file is None:
-        names = ('tasks', 'cpu', 'memory', 'estimate')
-        return [{name: getattr(options, name) for name in names}]
-    try:
-        return json.loads(options.file.read_text())
-    except (OSError, ValueError) as error:
-        raise SettingsError(
-            f'{options.file}: {error}.',
-            'Name a file with a JSON list of steps.',
-        ) from error
-
-
-def _lines_of(explained: Mapping[str, Any]) -> Iterator[str]:
+def format_lines(explained: Mapping[str, Any]) -> Iterator[str]:
+    """Yield the lines of the text output."""
     state = explained['state']
     title = (
         f'{explained["job"]}: {state}' if explained['tracked'] else 'new job'
@@ -125,11 +117,26 @@
     yield f'  workers: {_counts(explained["workers"])}'
 
 
+def _steps_of(options: argparse.Namespace) -> Any:
+    if options.file is None:
+        names = ('tasks', 'cpu', 'memory', 'estimate')
+        return [{name: getattr(options, name) for name in names}]
+    try:
+        return json.loads(options.file.read_text())
+    except (OSError, ValueError) as error:
+        raise SettingsError(
+            f'{options.file}: {error}.',
+            'Name a file with a JSON list of steps.',
+        ) from error
+
+
 def _account_line(account: Mapping[str, Any]) -> str:
     share = 'within' if account['within_share'] else 'beyond'
     room = 'no limit'
     if account['limit']:
-        room = ROOM.format_map(account)
+        room = ROOM.format_map(
+            {name: _amounts(account[name]) for name in AMOUNTS}
+        )
     return f'  account {account["name"]}: {share} its share, {room}'
 
 
@@ -158,6 +165,10 @@
         yield WAITING.format_map(fields)
 
 
+def _amounts(resources: Mapping[str, int]) -> str:
+    return ' '.join(f'{name} {amount}' for name, amount in resources.items())
+
+
 def _counts(counts: Mapping[str, int]) -> str:
     """Return *counts* as a text, by name."""
     texts = [f'{name} ({count})' for name, count in sorted(counts.items())]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -298,6 +298,14 @@
     return JobProgress(job(job_id, steps=steps), queue()).open_step(0, 0)
 
 
+def tasks_of(
+    explained: Step, job_id: str = 'job-1', **overrides: Any
+) -> list[Task]:
+    """Return the tasks of a new job with the step *explained*."""
+    new_job = job(job_id, steps=(explained,), **overrides)
+    return JobProgress(new_job, queue()).open_step(0, 0)
+
+
 def ended_run(task: Task, outcome: RunOutcome, **overrides: Any) -> EndedRun:
     """Return the end of the first run of *task*, after its usual time."""
     values: dict[str, Any] = {
