--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -13,7 +13,12 @@
 
 from cyclamenshift.decisions.candidates import Candidate, Placement
 from cyclamenshift.decisions.overload.worker_states import Rank
-from cyclamenshift.decisions.placement import PlacementRules, may_fit, place
+from cyclamenshift.decisions.placement import (
+    PlacementRules,
+    may_fit,
+    place,
+    share_checkpoint,
+)
 from cyclamenshift.decisions.progress import Attempt, JobProgress, Task
 from cyclamenshift.decisions.tracker import reserved_resources
 from cyclamenshift.job import Resources, Step
@@ -235,3 +240,13 @@
         if not task.step.worker_limit:
             expected = best_fit(task, candidates)
             assert workers_of(place([task], candidates, 1)) == expected
+
+
+def test_gang_shares_its_checkpoint_when_it_starts() -> None:
+    """A placement that was only computed changed where the gang resumed."""
+    gang = open_tasks((GANG,))
+    gang[1].checkpoint = 'half'
+    assert len(place(gang, make_candidates([HUGE]), 9)) == 3
+    assert [member.checkpoint for member in gang] == ['', 'half', '']
+    share_checkpoint(gang[0])
+    assert {member.checkpoint for member in gang} == {'half'}
