--- a/cyclamenshift/scheduling/health_monitor.py
+++ b/cyclamenshift/scheduling/health_monitor.py
@@ -53,6 +53,10 @@
         worker = self.health.workers.get(instance) if self.health else None
         return worker is not None and worker.state is not HealthState.healthy
 
+    def is_ejected(self, instance: WorkerInstance) -> bool:
+        """Return whether a worker gets no runs but probes."""
+        return self.health is not None and instance in self.health.ejected
+
     def retain(self, sessions: Mapping[WorkerInstance, WorkerSession]) -> None:
         """Follow the workers that have come and gone."""
         if self.health:
@@ -86,6 +90,16 @@
         self._log_changes()
         return rank
 
+    def peek_rank(
+        self,
+        instance: WorkerInstance,
+        attempts: Mapping[RunId, Attempt] = NO_ATTEMPTS,
+    ) -> Rank:
+        """Return the rank of a worker without changing its health."""
+        if self.health is None:
+            return Rank.healthy
+        return self.health.peek_rank(instance, self.clock.now(), attempts)
+
     def record_start(self, attempt: Attempt) -> None:
         """Take note of a run that is about to start."""
         if self.health:
