--- a/cyclamenshift/decisions/accounts/shares.py
+++ b/cyclamenshift/decisions/accounts/shares.py
@@ -54,13 +54,18 @@
         return copied
 
     def arrivals(self, now: int) -> Counter[str]:
-        """Return how many jobs of each account came in the last second."""
+        """
+        Return how many jobs of each account came in the last second.
+
+        Without jobs for a second an account gets its whole burst back, so that
+        one of a small weight is not beyond its share by chance.
+        """
         while self.recent and self.recent[0][0] <= now - RATE_WINDOW_MS:
             _at, account = self.recent.popleft()
             self.counts[account] -= 1
             if not self.counts[account]:
                 self.counts.pop(account)
-                self._drop_full_bucket(account)
+                self.buckets.pop(account, None)
         return self.counts
 
     def add(self, account: Account, elsewhere: int, now: int) -> bool:
@@ -90,10 +95,6 @@
         earned = rate * (now - bucket.updated_at) / MS_PER_SECOND
         return min(burst, bucket.tokens + earned)
 
-    def _drop_full_bucket(self, account: str) -> None:
-        """Forget an account without recent jobs, whose bucket has refilled."""
-        self.buckets.pop(account, None)
-
 
 def accounts_over_share(
     used: Mapping[str, Resources],
