Count the runs of a step in one place for both placement rules

The limit per worker and the spreading over racks gathered the workers of a step by the same lines. No change of behaviour; the placement tests pass.

--- a/cyclamenshift/decisions/candidates.py
+++ b/cyclamenshift/decisions/candidates.py
@@ -5,7 +5,8 @@
 Ranks the workers that may get a task.
 """
 
-from collections.abc import Callable, Collection, Iterable
+from collections import Counter
+from collections.abc import Callable, Collection, Iterable, Iterator
 from typing import Final, NamedTuple, TypeAlias
 
 from ..job import Resources, Step
@@ -122,21 +123,20 @@
     """Count the tasks of the step at each worker, placed ones included."""
     if not task.step.worker_limit:
         return {}
+    return Counter(_instances_of_step(task, placements))
+
+
+def _instances_of_step(
+    task: Task, placements: Iterable[Placement]
+) -> Iterator[WorkerInstance]:
+    """Yield the worker of each run of the step, *placements* included."""
     siblings = task.job.siblings(task)
-    instances = [
-        attempt.instance
-        for sibling in siblings
-        for attempt in sibling.attempts.values()
-    ]
-    instances.extend(
-        placement.instance
-        for placement in placements
-        if placement.task in siblings
-    )
-    counts: dict[WorkerInstance, int] = {}
-    for instance in instances:
-        counts[instance] = counts.get(instance, 0) + 1
-    return counts
+    for sibling in siblings:
+        for attempt in sibling.attempts.values():
+            yield attempt.instance
+    for placement in placements:
+        if placement.task in siblings:
+            yield placement.instance
 
 
 def _meets_constraints(step: Step, worker: Worker, assigned: int) -> bool:
@@ -163,16 +163,6 @@
     step = task.step
     instances = {attempt.instance for attempt in task.attempts.values()}
     if not instances and step.long_running and not step.gang:
-        siblings = task.job.siblings(task)
-        instances = {
-            attempt.instance
-            for sibling in siblings
-            for attempt in sibling.attempts.values()
-        }
-        instances.update(
-            placement.instance
-            for placement in placements
-            if placement.task in siblings
-        )
+        instances.update(_instances_of_step(task, placements))
     racks = {rack_of(instance) for instance in instances}
     return racks.pop() if len(racks) == 1 else ''
