--- a/cyclamenshift/decisions/overload/reallocation.py
+++ b/cyclamenshift/decisions/overload/reallocation.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 from typing import Final
 
+from ...provider import VmPhase
 from ..lending import (
     PoolBalancer,
     PoolView,
@@ -112,8 +113,14 @@
 
 
 def _supply(pool: PoolView, count: int) -> list[str]:
-    """Return up to *count* VMs, empty ones and then those that empty soon."""
-    return [*empty_vms(pool), *pool.draining][:count]
+    """
+    Return up to *count* VMs, empty ones and then those that empty soon.
+
+    The report of a pool may still name VMs that have left it since.
+    """
+    up = {vm.vm_id for vm in pool.vms if vm.phase is VmPhase.up}
+    emptying = [vm_id for vm_id in pool.draining if vm_id in up]
+    return [*empty_vms(pool), *emptying][:count]
 
 
 def _urgent(pool: PoolView) -> list[int]:
--- a/tests/test_reallocation.py
+++ b/tests/test_reallocation.py
@@ -14,6 +14,7 @@
     Reallocator,
 )
 from cyclamenshift.job import NO_RESOURCES, Resources
+from cyclamenshift.provider import VmPhase
 
 from .builders import pool_view
 
@@ -99,3 +100,21 @@
     balancer.propose_moves(pools(ended, begun), 0)
     balancer.propose_moves(pools(ended, calm), SHORTAGE_DELAY_MS - 1)
     assert not balancer.propose_moves(pools(ended, begun), SHORTAGE_DELAY_MS)
+
+
+def test_report_names_vms_that_have_left_the_pool() -> None:
+    """The manager ended with a KeyError when a VM left before its report."""
+    ended = busy_pool(12, used=TAIL)
+    gone = ended._replace(draining=('gone-1', *ended.draining))
+    begun = busy_pool(2, service='billing', used=TAIL, waiting=ONSET)
+    given = moves_after_shortage(pools(ended, begun))
+    assert moves_after_shortage(pools(gone, begun)) == given
+
+
+def test_vms_that_are_not_up_do_not_move() -> None:
+    """A VM that is moving already was ordered to another pool."""
+    ended = busy_pool(12, used=TAIL)
+    moving = tuple(vm._replace(phase=VmPhase.moving) for vm in ended.vms[:11])
+    ended = ended._replace(vms=(*moving, ended.vms[11]))
+    begun = busy_pool(2, service='billing', used=TAIL, waiting=ONSET)
+    assert moves_after_shortage(pools(ended, begun)) == ['billing']
