--- a/tests/test_reallocation.py
+++ b/tests/test_reallocation.py
@@ -114,7 +114,8 @@
 def test_vms_that_are_not_up_do_not_move() -> None:
     """A VM that is moving already was ordered to another pool."""
     ended = busy_pool(12, used=TAIL)
-    moving = tuple(vm._replace(phase=VmPhase.moving) for vm in ended.vms[:11])
-    ended = ended._replace(vms=(*moving, ended.vms[11]))
+    *others, last = ended.vms
+    moving = [vm._replace(phase=VmPhase.moving) for vm in others]
+    ended = ended._replace(vms=(*moving, last))
     begun = busy_pool(2, service='billing', used=TAIL, waiting=ONSET)
     assert moves_after_shortage(pools(ended, begun)) == ['billing']
