Order by cost, reallocate and refuse only under the contract pressure

The contract health switched all settings of overload on. Health alone now switches on what answers it: learned run times, forecast, worker health. The contract pressure switches on the rest.

--- a/cyclamenshift/platform/settings.py
+++ b/cyclamenshift/platform/settings.py
@@ -48,18 +48,18 @@
 DEFAULT_STOP_MS: Final = 1_000
 #: The port of the operators' front end; deploy/system.toml repeats it.
 METRICS_PORT: Final = 9464
-#: The contract of deployments whose workers fail while they report good health,
-#: and whose demand is uneven.
-OVERLOAD_CONTRACT: Final = 'health'
-#: The settings of overload that it switches on.
-OVERLOAD_SETTINGS: Final = (
-    'learned_run_times',
-    'demand_forecast',
-    'worker_health',
-    'cost_ordering',
-    'pool_reallocation',
-    'admission_control',
-)
+#: The settings of overload by the contract that switches them on: workers that
+#: fail while they report good health, with uneven demand, and lasting pressure.
+#: Without pressure, refusals cost callers more than waiting: on entry VMs short
+#: of processor time, waits of tasks don't tell that VMs are short.
+OVERLOAD_SETTINGS: Final = {
+    'learned_run_times': 'health',
+    'demand_forecast': 'health',
+    'worker_health': 'health',
+    'cost_ordering': 'pressure',
+    'pool_reallocation': 'pressure',
+    'admission_control': 'pressure',
+}
 #: The name of the adapter's plug-ins.
 PLUGIN_NAME: Final = 'platform'
 
@@ -182,10 +182,10 @@
             'address': body['platform']['address'],
             'row_limit': body['platform'].get('rowBytes', DEFAULT_ROW_BYTES),
         },
-        'overload': dict.fromkeys(
-            OVERLOAD_SETTINGS,
-            OVERLOAD_CONTRACT in body.get('contracts', ()),
-        ),
+        'overload': {
+            setting: contract in body.get('contracts', ())
+            for setting, contract in OVERLOAD_SETTINGS.items()
+        },
         'jobs': {
             'plugin': PLUGIN_NAME,
             'lease': min(LEASE_MS, max_lease),
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -608,6 +608,26 @@
     return settings.check(Document(values, {}))
 
 
+def platform_settings(**overrides: Any) -> dict[str, Any]:
+    """Return the fields of a settings file of the platform."""
+    values: dict[str, Any] = {
+        'node': 'entry-1',
+        'ip': '127.0.0.1',
+        'zone': 'zone-1',
+        'listen': {
+            'front': '127.0.0.1:7001',
+            'ready': '127.0.0.1:7002',
+            'control': '127.0.0.1:7003',
+        },
+        'limits': {'cpuShare': 0.5, 'cpuCores': 1},
+        'bounds': {},
+        'contracts': ['base', 'sched'],
+        'platform': {'address': '127.0.0.1:7004'},
+        'cloud': {'address': '127.0.0.1:7005'},
+    }
+    return values | overrides
+
+
 def lease(**overrides: Any) -> Lease:
     """Return a lease that nobody has granted."""
     values: dict[str, Any] = {
