Delete the rows of refused jobs as fast as they come

Each round of 5 s deleted at most 32 rows, so that a burst of refusals left rows in the store and in memory for much longer than 60 s. The new test fails without the change: 96 refusals at once.

--- a/cyclamenshift/scheduling/refused_jobs.py
+++ b/cyclamenshift/scheduling/refused_jobs.py
@@ -49,8 +49,8 @@
             expired = [
                 job_id for job_id, at in self.refused.items() if at < cutoff
             ]
-            if expired:
-                await self._delete(expired[:MAX_BATCH_ROWS])
+            for first in range(0, len(expired), MAX_BATCH_ROWS):
+                await self._delete(expired[first : first + MAX_BATCH_ROWS])
 
     async def _delete(self, job_ids: list[str]) -> None:
         """Delete rows that still stand for a refusal."""
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -30,7 +30,11 @@
 from cyclamenshift.job import Job, JobState, TaskId
 from cyclamenshift.jobrows import job_key
 from cyclamenshift.refusedjobs import is_refusal
-from cyclamenshift.scheduling.refused_jobs import INTERVAL_MS, RETENTION_MS
+from cyclamenshift.scheduling.refused_jobs import (
+    INTERVAL_MS,
+    MAX_BATCH_ROWS,
+    RETENTION_MS,
+)
 from cyclamenshift.store import Key
 
 from .builders import account, catalog, job, step
@@ -181,6 +185,22 @@
     assert not is_present(job_cluster, key)
 
 
+async def test_refusals_are_deleted_as_fast_as_they_come(
+    job_cluster: JobCluster, autojump_clock: MockClock
+) -> None:
+    """Each round deleted one batch, so that the rows of a burst grew."""
+    entry = await start_short_cluster(job_cluster)
+    numbers = range(9, 9 + 3 * MAX_BATCH_ROWS)
+    refused = [heavy_job(number, tasks=1) for number in numbers]
+    async with trio.open_nursery() as nursery:
+        for each in refused:
+            nursery.start_soon(submit, job_cluster, entry, each)
+    keys = [job_key('desk', each.job_id) for each in refused]
+    assert all(is_present(job_cluster, key) for key in keys)
+    await trio.sleep((RETENTION_MS + 2 * INTERVAL_MS) / 1000)
+    assert not any(is_present(job_cluster, key) for key in keys)
+
+
 def runs_of(job_cluster: JobCluster, submitted: Job) -> int:
     """Return how many runs of a job were started."""
     return sum(
