--- a/tests/test_account_cluster.py
+++ b/tests/test_account_cluster.py
@@ -16,7 +16,10 @@
 from cyclamenshift.directory import Account
 from cyclamenshift.job import Job, JobState, Resources
 from cyclamenshift.jobmessages import NotOwned
-from cyclamenshift.scheduling.account_limits import ACCOUNTS_DOMAIN
+from cyclamenshift.scheduling.account_limits import (
+    ACCOUNTS_DOMAIN,
+    GROWING_PAUSE_MS,
+)
 
 from .builders import account, catalog, job, step, usage_report
 from .standins.account_watch import AccountWatch
@@ -200,3 +203,19 @@
     answer = await ownership.call_owner(ACCOUNTS_DOMAIN, report, 500)
     assert isinstance(answer, NotOwned)
     nursery.cancel_scope.cancel()
+
+
+async def test_usage_is_reported_a_few_times_a_second(
+    job_cluster: JobCluster, nursery: trio.Nursery, autojump_clock: MockClock
+) -> None:
+    """Each service sent up to 100 reports a second while tasks waited."""
+    await start(job_cluster, nursery)
+    await trio.sleep(0.5)
+    owner = job_cluster.entries[job_cluster.owner('desk')]
+    limits = owner.scheduler.schedulers['desk'].account_limits
+    assert limits.exhausted
+    before = limits.allotments.number
+    await trio.sleep(1)
+    sent = limits.allotments.number - before
+    assert 1 <= sent <= MS_PER_SECOND / GROWING_PAUSE_MS
+    nursery.cancel_scope.cancel()
--- a/tests/test_account_shares.py
+++ b/tests/test_account_shares.py
@@ -10,6 +10,8 @@
 from typing import Final
 
 from cyclamenshift.decisions.accounts.shares import (
+    MIN_BURST,
+    RATE_WINDOW_MS,
     AccountShares,
     accounts_over_share,
 )
@@ -145,3 +147,14 @@
         shares.add(account(f'account-{number}'), 0, number * 10)
     assert len(shares.buckets) <= 101
     assert len(shares.arrivals(60_000)) == 0
+
+
+def test_account_of_a_small_weight_has_its_burst_after_a_second() -> None:
+    """Jobs of a rare caller were beyond its share by chance."""
+    shares = AccountShares()
+    rare = account('rare', weight=0.1)
+    burst = [shares.add(rare, 0, now) for now in range(MIN_BURST + 1)]
+    assert burst == [*[True] * MIN_BURST, False]
+    after = RATE_WINDOW_MS + MIN_BURST
+    assert not shares.has_room(rare, 0, after - 1)
+    assert shares.has_room(rare, 0, after)
