--- a/cyclamenshift/decisions/overload/worker_health.py
+++ b/cyclamenshift/decisions/overload/worker_health.py
@@ -9,14 +9,14 @@
 A task has about four attempts, so that few of them may be spent there.
 """
 
-import math
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from ...job import RunId, RunOutcome
 from ..progress import Attempt, WorkerInstance
 from ..reports import EndedRun
-from .failures import Evidence, Failure, PoolRate
+from .failures import Failure
+from .pool_health import SUSPICION_MS, PoolHealth
 from .slowness import (
     BATCH_SIZE,
     SUSPECT_SLOWDOWN,
@@ -29,62 +29,28 @@
 from .time_comparison import TimeComparison
 from .worker_states import (
     MAX_PROBE_DELAY_MS,
-    HealthChange,
     HealthState,
     Rank,
     WorkerRecord,
     judge,
 )
 
-#: How long a suspicion lasts without new evidence, ms.
-SUSPICION_MS: Final = 10_000
 #: How often the running runs are looked at, ms: as often as workers report.
 CHECK_INTERVAL_MS: Final = 1_000
-#: Only one of that many workers of a pool may be ejected at a time.
-EJECT_DIVISOR: Final = 4
 #: How many done tasks of a step make the failures of others be weighed anew.
 FIRST_DONE: Final = 8
 NO_ATTEMPTS: Final[Mapping[RunId, Attempt]] = {}
 
 
-class WorkerHealth:
+class WorkerHealth(PoolHealth):
     """The health of the workers of one pool, kept by its scheduler."""
 
     def __init__(self) -> None:
         """Start without workers; ``retain`` tells of them."""
-        self.workers: dict[WorkerInstance, WorkerRecord] = {}
+        super().__init__()
         self.steps = StepRecords()
-        self.pool_rate = PoolRate()
         self.run_times = TimeComparison(self.steps)
         self.next_check = 0
-        self.ejected: set[WorkerInstance] = set()
-        self.changes: list[HealthChange] = []
-
-    @property
-    def quota(self) -> int:
-        """How many workers may be ejected at a time."""
-        return len(self.workers) // EJECT_DIVISOR
-
-    def retain(self, instances: Collection[WorkerInstance], now: int) -> None:
-        """Set the workers of the pool; new ones are healthy."""
-        for gone in self.workers.keys() - instances:
-            self.workers.pop(gone)
-            self.ejected.discard(gone)
-        for instance in instances:
-            if instance not in self.workers:
-                self.workers[instance] = WorkerRecord(instance)
-        surplus = len(self.ejected) - self.quota
-        for instance in sorted(self.ejected)[: max(0, surplus)]:
-            worker = self.workers[instance]
-            worker.probe = None
-            worker.until = now + SUSPICION_MS
-            self._change(worker, HealthState.suspected, 'pool has shrunk')
-
-    def take_changes(self) -> list[HealthChange]:
-        """Return the changes since the last call."""
-        changes = self.changes
-        self.changes = []
-        return changes
 
     def check_running(
         self,
@@ -119,7 +85,7 @@
         """
         worker = self.workers.get(instance)
         if worker and worker.is_cleared(now):
-            self._readmit(worker, 'no new evidence', now)
+            self.readmit(worker, 'no new evidence', now)
         return self.peek_rank(instance, now, attempts)
 
     def peek_rank(
@@ -147,7 +113,7 @@
         worker = self.workers.get(instance)
         if worker and worker.ejected and now >= worker.until:
             worker.probe = run
-            self._change(worker, HealthState.probed, 'delay is over')
+            self.change(worker, HealthState.probed, 'delay is over')
 
     def record_end(
         self, run: EndedRun, instance: WorkerInstance, now: int
@@ -265,7 +231,7 @@
         """Suspect, eject or clear a worker by all evidence."""
         if worker is None or worker.ejected:
             return
-        evidence = self._weigh(worker)
+        evidence = self.weigh(worker)
         state = judge(evidence, worker.slowness.measure())
         if state is HealthState.ejected and len(self.ejected) >= self.quota:
             state = HealthState.suspected
@@ -282,18 +248,18 @@
         worker.until = now + delays.get(state, 0)
         if state is not worker.state:
             reason = 'failures' if worker.failing else 'run times'
-            self._change(worker, state, reason)
+            self.change(worker, state, reason)
 
     def _end_probe(
         self, worker: WorkerRecord, run: EndedRun, now: int, *, is_slow: bool
     ) -> None:
         worker.probe = None
         if run.outcome is RunOutcome.done and not is_slow:
-            self._readmit(worker, 'probe succeeded', now)
+            self.readmit(worker, 'probe succeeded', now)
         elif run.outcome is RunOutcome.failed or is_slow:
             worker.delay = min(MAX_PROBE_DELAY_MS, 2 * worker.delay)
             worker.until = now + worker.delay
-            self._change(worker, HealthState.ejected, 'probe failed')
+            self.change(worker, HealthState.ejected, 'probe failed')
 
     def _is_slow(
         self, worker: WorkerRecord, run: EndedRun, record: StepRecord
@@ -308,33 +274,3 @@
             run.task.step.estimate,
         )
         return sample is not None and sample.excess >= SUSPECT_SLOWDOWN
-
-    def _readmit(self, worker: WorkerRecord, reason: str, now: int) -> None:
-        self._change(worker, HealthState.healthy, reason)
-        worker.forget(now)
-
-    def _weigh(self, worker: WorkerRecord) -> Evidence:
-        pool_rate = self.pool_rate.without(worker.ends)
-        return worker.ends.weigh(pool_rate, self.ejected)
-
-    def _change(
-        self, worker: WorkerRecord, state: HealthState, reason: str
-    ) -> None:
-        worker.state = state
-        instance = worker.ends.instance
-        if worker.ejected:
-            self.ejected.add(instance)
-        else:
-            self.ejected.discard(instance)
-        evidence = self._weigh(worker)
-        self.changes.append(
-            HealthChange(
-                instance,
-                state,
-                reason,
-                evidence.failures,
-                evidence.steps,
-                math.exp(worker.slowness.measure()),
-                self.pool_rate.without(worker.ends),
-            )
-        )
--- a/tests/test_worker_health.py
+++ b/tests/test_worker_health.py
@@ -10,11 +10,9 @@
 import pytest
 
 from cyclamenshift.decisions.overload.failures import RECENT_ENDS
+from cyclamenshift.decisions.overload.pool_health import SUSPICION_MS
 from cyclamenshift.decisions.overload.step_records import MAX_STEPS
-from cyclamenshift.decisions.overload.worker_health import (
-    SUSPICION_MS,
-    WorkerHealth,
-)
+from cyclamenshift.decisions.overload.worker_health import WorkerHealth
 from cyclamenshift.decisions.overload.worker_states import (
     MAX_PROBE_DELAY_MS,
     PROBE_DELAY_MS,
