--- a/cyclamenshift/decisions/accounts/allotments.py
+++ b/cyclamenshift/decisions/accounts/allotments.py
@@ -22,8 +22,8 @@
 #: The part of what an account has in use that is asked for in advance, so
 #: that its next tasks need not wait for an answer.
 ADVANCE_DIVISOR: Final = 4
-#: How long an allotment is held of which nothing starts, ms: the longest of the
-#: short tasks end meanwhile, whose room is collected for a larger one.
+#: How long an allotment is held of which nothing starts, ms: short tasks end
+#: within that time, so that their room adds up to what a larger one needs.
 MAX_HOLD_MS: Final = 2_000
 #: For how long it is then left to other services, ms: for two of their reports.
 RELEASE_MS: Final = 200
@@ -208,22 +208,19 @@
         return held_for % (MAX_HOLD_MS + RELEASE_MS) >= MAX_HOLD_MS
 
 
-class AccountDemand:
-    """What the tasks of an account use and ask for at one service."""
+class AccountDemand(NamedTuple):
+    """
+    What the tasks of an account use and ask for at one service.
 
-    def __init__(
-        self,
-        used: Resources,
-        waiting: Resources,
-        arrivals: int,
-        *,
-        releases: bool = False,
-    ) -> None:
-        """Describe the runs and the *waiting* tasks of an account."""
-        self.releases = releases
-        self.used = used
-        self.waiting = waiting
-        self.arrivals = arrivals
+    ``waiting`` is what its tasks ask for that wait, ``arrivals`` how many of
+    its jobs came in the last second.  ``releases`` is whether it is to ask for
+    nothing beyond what it uses, for the sake of other services.
+    """
+
+    used: Resources
+    waiting: Resources
+    arrivals: int
+    releases: bool = False
 
     def useful(self) -> Resources:
         """Return how much could be in use soon."""
