Use the usual terms for demand cycles, rejections and shared placements

Names that a reader has to look up: Rhythm is a DemandCycle, TurnedAway is Rejected beside Admitted, Company is a SharedPlacement, and the waiting jobs that are too late are called so. No change of behaviour.

--- a/cyclamenshift/decisions/explanation.py
+++ b/cyclamenshift/decisions/explanation.py
@@ -129,10 +129,10 @@
     return StepOrder(before, len(ranked), key, promoted)
 
 
-def find_placement(own: list[Task], coming: NextPass) -> StepPlacement:
+def find_placement(own: list[Task], next_pass: NextPass) -> StepPlacement:
     """Return where the tasks *own*, all of one step, would start."""
     step_id = own[0].task_id.step_id
-    placed = [*coming.suspects, *_place(step_id, coming)]
+    placed = [*next_pass.suspects, *_place(step_id, next_pass)]
     started = {
         each.task.task_id: each.instance[0]
         for each in placed
@@ -142,16 +142,18 @@
     return StepPlacement(
         len(own),
         Counter(started.values()),
-        _reason(waiting[0], coming, len(placed)) if waiting else None,
+        _reason(waiting[0], next_pass, len(placed)) if waiting else None,
     )
 
 
-def _place(step_id: StepId, coming: NextPass) -> list[Placement]:
+def _place(step_id: StepId, next_pass: NextPass) -> list[Placement]:
     """Place the tasks up to those of a step, in the order of the pass."""
-    if not coming.free:
+    if not next_pass.free:
         return []
-    fitting = may_fit(coming.tasks, coming.candidates.values())
-    ordered = list(most_urgent_first(fitting, coming.wall_time, coming.ranking))
+    fitting = may_fit(next_pass.tasks, next_pass.candidates.values())
+    ordered = list(
+        most_urgent_first(fitting, next_pass.wall_time, next_pass.ranking)
+    )
     last = max(
         (
             number
@@ -162,26 +164,26 @@
     )
     return place(
         ordered[: last + 1],
-        coming.candidates,
-        coming.free - len(coming.suspects),
-        rules=coming.rules,
+        next_pass.candidates,
+        next_pass.free - len(next_pass.suspects),
+        rules=next_pass.rules,
     )
 
 
-def _reason(task: Task, coming: NextPass, placed: int) -> WaitReason:
+def _reason(task: Task, next_pass: NextPass, placed: int) -> WaitReason:
     """Return why *task* has no worker after so many tasks were *placed*."""
-    if placed >= coming.free:
+    if placed >= next_pass.free:
         return WaitReason.order_window
     return (
-        _reason_of_account(task, coming)
-        or _reason_of_pool(task, coming)
-        or _reason_of_room(task, coming)
+        _reason_of_account(task, next_pass)
+        or _reason_of_pool(task, next_pass)
+        or _reason_of_room(task, next_pass)
     )
 
 
-def _reason_of_account(task: Task, coming: NextPass) -> WaitReason | None:
-    budget = coming.rules.budget
-    room = coming.account
+def _reason_of_account(task: Task, next_pass: NextPass) -> WaitReason | None:
+    budget = next_pass.rules.budget
+    room = next_pass.account
     if room is None or budget.allows(task):
         return None
     if not room.confirmed:
@@ -194,11 +196,11 @@
     return WaitReason.account_limit if at_limit else WaitReason.allotment
 
 
-def _reason_of_pool(task: Task, coming: NextPass) -> WaitReason | None:
+def _reason_of_pool(task: Task, next_pass: NextPass) -> WaitReason | None:
     """Return the reason that does not depend on what is free."""
-    if not coming.knows_workers:
+    if not next_pass.knows_workers:
         return WaitReason.registrations
-    usable = coming.candidates.values()
+    usable = next_pass.candidates.values()
     if not usable:
         return WaitReason.no_worker
     labelled = _with_label(task, usable)
@@ -210,15 +212,16 @@
     return None
 
 
-def _reason_of_room(task: Task, coming: NextPass) -> WaitReason:
+def _reason_of_room(task: Task, next_pass: NextPass) -> WaitReason:
     needed = reserved_resources(task.step)
-    labelled = _with_label(task, coming.candidates.values())
+    labelled = _with_label(task, next_pass.candidates.values())
     with_room = [each for each in labelled if each.free.can_fit(needed)]
     if task.crashes.suspicious and not task.step.gang:
         return WaitReason.isolation
     if not with_room:
         had_room = any(
-            coming.free_at[each.instance].can_fit(needed) for each in labelled
+            next_pass.free_at[each.instance].can_fit(needed)
+            for each in labelled
         )
         return WaitReason.room_taken if had_room else WaitReason.no_room
     if task.step.gang:
--- a/cyclamenshift/decisions/overload/admission_control.py
+++ b/cyclamenshift/decisions/overload/admission_control.py
@@ -33,14 +33,14 @@
     """The job may be stored."""
 
 
-class TurnedAway(NamedTuple):
+class Rejected(NamedTuple):
     """The job is refused; the caller should return in ``retry_after`` ms."""
 
     reason: str
     retry_after: int
 
 
-Admission: TypeAlias = Admitted | TurnedAway
+Admission: TypeAlias = Admitted | Rejected
 
 
 class Backlog(NamedTuple):
@@ -91,12 +91,12 @@
         return Admitted()
     end = backlog.drain_time + needs.chain
     if not needs.within_share and end > needs.objective:
-        return TurnedAway(
+        return Rejected(
             'the account is beyond its share while capacity is insufficient',
             retry_after(needs.job_id, backlog),
         )
     if needs.within_share and end > LATE_FACTOR * needs.objective:
-        return TurnedAway(
+        return Rejected(
             'capacity is insufficient to run the job in time',
             retry_after(needs.job_id, backlog),
         )
--- a/cyclamenshift/decisions/overload/rhythm.py
+++ b/cyclamenshift/decisions/overload/demand_cycle.py
@@ -1,6 +1,6 @@
 """
-cyclamenshift.decisions.overload.rhythm
-=======================================
+cyclamenshift.decisions.overload.demand_cycle
+=============================================
 
 Learns the interval between the peaks of a service, and forecasts the next.
 
@@ -59,7 +59,7 @@
     missed = 'missed'
 
 
-class RhythmEvent(NamedTuple):
+class CycleEvent(NamedTuple):
     """A change; ``interval`` and ``onset`` are those forecast, ms."""
 
     change: Change
@@ -80,7 +80,7 @@
     height: Resources
 
     @property
-    def asked_at(self) -> int:
+    def requested_at(self) -> int:
         """From when VMs are asked for."""
         return self.onset - LEAD_MS
 
@@ -90,7 +90,7 @@
         return self.onset + self.tolerance + DETECTION_MS
 
 
-class Rhythm:
+class DemandCycle:
     """The cycle of one service's demand; times are monotonic, ms."""
 
     def __init__(self, now: int) -> None:
@@ -105,8 +105,8 @@
         self.confirmed_until = now
         self.misses = 0
         self.is_learned = False
-        self.is_asked = False
-        self.events: list[RhythmEvent] = []
+        self.is_requested = False
+        self.events: list[CycleEvent] = []
 
     def record(self, work: Resources, now: int) -> None:
         """Record the resource time of a job that arrived at *now*."""
@@ -122,7 +122,7 @@
         if now < self.confirmed_until:
             return self.confirmed
         expected = self.expected
-        if expected is None or now < expected.asked_at:
+        if expected is None or now < expected.requested_at:
             return NO_RESOURCES
         return Resources(
             *(amount * ADVANCE_PERCENT // PERCENT for amount in expected.height)
@@ -132,10 +132,10 @@
         """Return in what time the forecast changes by itself, ms."""
         times = [self.confirmed_until]
         if self.expected:
-            times += [self.expected.asked_at, self.expected.missed_at]
+            times += [self.expected.requested_at, self.expected.missed_at]
         return min((at - now for at in times if at > now), default=None)
 
-    def take_events(self) -> list[RhythmEvent]:
+    def take_events(self) -> list[CycleEvent]:
         """Return the events since the previous call."""
         events = self.events
         self.events = []
@@ -152,8 +152,10 @@
         expected = self.expected
         if expected and now >= expected.missed_at:
             self._miss(expected)
-        elif expected and now >= expected.asked_at and not self.is_asked:
-            self.is_asked = True
+        elif (
+            expected and now >= expected.requested_at and not self.is_requested
+        ):
+            self.is_requested = True
             self._note(expected, Change.forecast)
 
     def _forget(self, now: int) -> None:
@@ -173,7 +175,7 @@
 
     def _learn(self) -> None:
         """Expect the next peak if the intervals between the last agree."""
-        if self.expected and self.is_asked:
+        if self.expected and self.is_requested:
             self._miss(self.expected)
         was_learned = self.is_learned
         agreeing = _agreeing_intervals(self.peaks)
@@ -192,7 +194,7 @@
             tolerance=_tolerance(interval),
             height=Resources(*map(min, last.height, before.height)),
         )
-        self.is_asked = False
+        self.is_requested = False
         if not was_learned:
             self._note(self.expected, Change.learned)
 
@@ -223,7 +225,7 @@
 
     def _note(self, expected: Expectation, change: Change) -> None:
         self.events.append(
-            RhythmEvent(change, expected.interval, expected.onset)
+            CycleEvent(change, expected.interval, expected.onset)
         )
 
 
--- a/cyclamenshift/decisions/overload/worker_states.py
+++ b/cyclamenshift/decisions/overload/worker_states.py
@@ -42,7 +42,7 @@
 
 
 class HealthState(enum.StrEnum):
-    """What is thought of a worker."""
+    """The health of a worker, by the evidence so far."""
 
     healthy = 'healthy'
     suspected = 'suspected'
--- a/cyclamenshift/decisions/urgency.py
+++ b/cyclamenshift/decisions/urgency.py
@@ -118,15 +118,15 @@
 ) -> list[tuple[Urgency, StepId]]:
     """Return the sort keys of the steps of *groups*, most urgent first."""
     delays = delays_caused(groups, ranking.capacity)
-    keyed = []
+    ranked = []
     for step_id, group in groups.items():
         urgency = urgency_of(group[0], wall_time, ranking)
         slack = urgency.slack + delays.get(step_id, 0)
-        keyed.append((urgency._replace(slack=slack), step_id))
-    keyed.sort()
+        ranked.append((urgency._replace(slack=slack), step_id))
+    ranked.sort()
     if ranking.promotes:
-        _promote_latest(keyed)
-    return keyed
+        _promote_latest(ranked)
+    return ranked
 
 
 def late_groups(
@@ -140,15 +140,15 @@
     ]
 
 
-def _promote_latest(keyed: list[tuple[Urgency, StepId]]) -> None:
+def _promote_latest(ranked: list[tuple[Urgency, StepId]]) -> None:
     """Put the step of the job first that is too late by the most."""
-    hopeless = [
-        each for each in keyed if each[0].timeliness is Timeliness.too_late
+    too_late = [
+        each for each in ranked if each[0].timeliness is Timeliness.too_late
     ]
-    if hopeless:
-        latest = min(hopeless, key=_slack)
-        keyed.remove(latest)
-        keyed.insert(0, latest)
+    if too_late:
+        latest = min(too_late, key=_slack)
+        ranked.remove(latest)
+        ranked.insert(0, latest)
 
 
 def _slack(each: tuple[Urgency, StepId]) -> int:
--- a/cyclamenshift/duties/scheduler.py
+++ b/cyclamenshift/duties/scheduler.py
@@ -12,7 +12,7 @@
 from ..controls.job_storing import store_job, store_refusal
 from ..controls.ownership import Ownership
 from ..controls.row_writer import NotWritten, Rival, RowWriter, Written
-from ..decisions.overload.admission_control import TurnedAway
+from ..decisions.overload.admission_control import Rejected
 from ..directory import Catalog, Directory
 from ..duty import Duty, OwnershipTerm
 from ..fleetmessages import PoolReport, Vacate, Vacated
@@ -181,7 +181,7 @@
             return NotOwned()
         if offer.job.job_id not in self.storing:
             admission = scheduler.admission.decide(offer.job)
-            if isinstance(admission, TurnedAway):
+            if isinstance(admission, Rejected):
                 return await self._refuse(scheduler, offer.job, admission)
         self.storing[offer.job.job_id] += 1
         try:
@@ -194,7 +194,7 @@
         return result
 
     async def _refuse(
-        self, scheduler: ServiceScheduler, job: Job, admission: TurnedAway
+        self, scheduler: ServiceScheduler, job: Job, admission: Rejected
     ) -> Written | Rival | NotWritten | JobRefused:
         """Refuse a job once it is certain that no write of it takes effect."""
         service = scheduler.state.service
--- a/cyclamenshift/overloadmetrics.py
+++ b/cyclamenshift/overloadmetrics.py
@@ -1,6 +1,6 @@
 """
 cyclamenshift.overloadmetrics
-==============================
+=============================
 
 What the decisions under insufficient capacity do, and for which accounts.
 """
--- a/cyclamenshift/scheduling/admission.py
+++ b/cyclamenshift/scheduling/admission.py
@@ -16,7 +16,7 @@
     Admitted,
     Backlog,
     StepWaits,
-    TurnedAway,
+    Rejected,
     backlog_of,
     decide,
     needs_of,
@@ -139,7 +139,7 @@
     def _record(
         self, job: Job, admission: Admission, backlog: Backlog, objective: int
     ) -> None:
-        if not isinstance(admission, TurnedAway):
+        if not isinstance(admission, Rejected):
             return
         self.refusals.append(Refusal(job.job_id, self.clock.now() + objective))
         if job.account:
--- a/cyclamenshift/scheduling/demand.py
+++ b/cyclamenshift/scheduling/demand.py
@@ -10,7 +10,7 @@
 from ..component import Host
 from ..decisions.arrivals import Arrivals
 from ..decisions.overload.bursts import BurstArrivals
-from ..decisions.overload.rhythm import Change, Rhythm, RhythmEvent
+from ..decisions.overload.demand_cycle import Change, DemandCycle, CycleEvent
 from ..decisions.overload.run_times import RunTimeModel
 from ..job import Job, Resources
 from ..logs import StructuredLogger
@@ -46,34 +46,34 @@
         is_learned = kernel.settings['overload']['demand_forecast']
         arrivals_type = BurstArrivals if is_learned else Arrivals
         self.arrivals = arrivals_type(run_times)
-        self.rhythm = Rhythm(self.clock.now()) if is_learned else None
+        self.cycle = DemandCycle(self.clock.now()) if is_learned else None
 
     def add(self, job: Job) -> None:
         """Count a job that arrives now."""
         now = self.clock.now()
         work = self.arrivals.add(job, now)
-        if self.rhythm:
-            self.rhythm.record(work, now)
+        if self.cycle:
+            self.cycle.record(work, now)
 
     def expected(self) -> Resources:
         """Return the demand that is to be met besides that of known tasks."""
         now = self.clock.now()
         demand = self.arrivals.demand(now)
-        if self.rhythm is None:
+        if self.cycle is None:
             return demand
-        forecast = self.rhythm.forecast(now)
-        for event in self.rhythm.take_events():
+        forecast = self.cycle.forecast(now)
+        for event in self.cycle.take_events():
             self._record(event)
         return Resources(*map(max, demand, forecast))
 
     def time_until_change(self, longest: int) -> int:
         """Return in what time the forecast changes by itself, ms."""
-        if self.rhythm is None:
+        if self.cycle is None:
             return longest
-        change_in = self.rhythm.time_until_change(self.clock.now())
+        change_in = self.cycle.time_until_change(self.clock.now())
         return longest if change_in is None else min(longest, change_in)
 
-    def _record(self, event: RhythmEvent) -> None:
+    def _record(self, event: CycleEvent) -> None:
         self.log.note(
             TEXTS[event.change],
             interval_ms=event.interval,
--- a/cyclamenshift/scheduling/explainer.py
+++ b/cyclamenshift/scheduling/explainer.py
@@ -111,17 +111,17 @@
             return None
         step_id = min(task.task_id.step_id for task in waiting)
         own = [task for task in waiting if task.task_id.step_id == step_id]
-        coming = self._next_pass(waiting, within=within)
+        next_pass = self._next_pass(waiting, within=within)
         order = find_order(
             {
                 task.task_id: task
                 for task in (*self.tracker.waiting.values(), *waiting)
             }.values(),
             step_id,
-            coming.wall_time,
-            coming.ranking,
+            next_pass.wall_time,
+            next_pass.ranking,
         )
-        return start_detail(own[0], order, find_placement(own, coming))
+        return start_detail(own[0], order, find_placement(own, next_pass))
 
     def _next_pass(self, waiting: list[Task], *, within: bool) -> NextPass:
         """Return what the next pass would look at, with tasks that join it."""
--- a/cyclamenshift/scheduling/explanations.py
+++ b/cyclamenshift/scheduling/explanations.py
@@ -9,7 +9,7 @@
 
 from ..decisions.accounts.usage import UNLIMITED
 from ..decisions.explanation import AccountRoom, StepOrder, StepPlacement
-from ..decisions.overload.admission_control import TurnedAway, earliest_return
+from ..decisions.overload.admission_control import Rejected, earliest_return
 from ..decisions.progress import JobProgress, Task
 from ..decisions.schedules import typical_run_time
 from ..job import Resources
@@ -148,7 +148,7 @@
         backlog=preview.backlog.drain_time,
         oldest_wait=preview.backlog.oldest_wait,
     )
-    if isinstance(preview.admission, TurnedAway):
+    if isinstance(preview.admission, Rejected):
         earliest = earliest_return(preview.backlog)
         detail['admitted'] = False
         detail['reason'] = preview.admission.reason
--- a/cyclamenshift/scheduling/placer.py
+++ b/cyclamenshift/scheduling/placer.py
@@ -81,7 +81,7 @@
             self.next_promotion = now + PROMOTION_INTERVAL_MS
         suspects = Suspects(self.state, self.isolation_waits, now, self.budget)
         self._start(suspects.place(candidates))
-        suspects.log_companies()
+        suspects.log_shared_placements()
         self._place_most_urgent(suspects.others, candidates)
         if self.state.order_window.free(self.state.service):
             self._log_capacity_shortage(candidates)
--- a/cyclamenshift/scheduling/suspects.py
+++ b/cyclamenshift/scheduling/suspects.py
@@ -53,7 +53,7 @@
     young_resources: Resources
 
 
-class Company(NamedTuple):
+class SharedPlacement(NamedTuple):
     """A suspect that starts beside old runs or other suspects."""
 
     task: Task
@@ -91,7 +91,7 @@
             apart = task.crashes.suspicious and not task.step.gang
             (self.tasks if apart else self.others).append(task)
         waits.update(self.tasks, now)
-        self.companies: list[Company] = []
+        self.shared_placements: list[SharedPlacement] = []
         self.probation: dict[WorkerInstance, list[Task]] = {}
         self.runs: dict[WorkerInstance, WorkerRuns] = {}
 
@@ -122,17 +122,17 @@
         )
         return self.placements
 
-    def log_companies(self) -> None:
+    def log_shared_placements(self) -> None:
         """Log the suspects that start beside other short runs."""
-        for company in self.companies:
+        for shared in self.shared_placements:
             self.state.log.note(
                 'Suspect placed beside other runs.',
-                task=company.task.task_id,
-                crashes=company.task.crashes.in_a_row,
-                worker=company.worker,
-                waited_ms=self.waits.waited(company.task, self.now),
-                old_runs=company.old_runs,
-                suspects=company.suspects,
+                task=shared.task.task_id,
+                crashes=shared.task.crashes.in_a_row,
+                worker=shared.worker,
+                waited_ms=self.waits.waited(shared.task, self.now),
+                old_runs=shared.old_runs,
+                suspects=shared.suspects,
             )
 
     def _place_all(self, candidates: dict[WorkerInstance, Candidate]) -> None:
@@ -173,7 +173,7 @@
             place((task,), chosen, 1, self.placements, rules)
         )
         self.probation.setdefault(instance, []).append(task)
-        self._note_company(task, instance)
+        self._note_shared_placement(task, instance)
         return True
 
     def _occupancies(
@@ -249,12 +249,14 @@
         alive_at = session.alive_at(self.now) if session else None
         return attempt.age(alive_at).ms
 
-    def _note_company(self, task: Task, instance: WorkerInstance) -> None:
+    def _note_shared_placement(
+        self, task: Task, instance: WorkerInstance
+    ) -> None:
         runs = self.runs[instance]
         suspects = len(self.probation[instance]) - 1
         if runs.old or suspects:
-            self.companies.append(
-                Company(task, instance[0], runs.old, suspects)
+            self.shared_placements.append(
+                SharedPlacement(task, instance[0], runs.old, suspects)
             )
 
 
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -23,7 +23,7 @@
     Admitted,
     Backlog,
     JobNeeds,
-    TurnedAway,
+    Rejected,
     decide,
     retry_after,
 )
@@ -59,14 +59,14 @@
 
 def test_jobs_beyond_the_share_are_refused_first() -> None:
     """The jobs of an account that submits too many made all others late."""
-    assert isinstance(decide(needs(within_share=False), SHORT), TurnedAway)
+    assert isinstance(decide(needs(within_share=False), SHORT), Rejected)
     assert decide(needs(within_share=True), SHORT) == Admitted()
 
 
 def test_job_that_can_not_even_be_late_is_refused() -> None:
     """A caller waited until the deadline for what was known not to happen."""
     hopeless = SHORT._replace(drain_time=3 * OBJECTIVE)
-    assert isinstance(decide(needs(within_share=True), hopeless), TurnedAway)
+    assert isinstance(decide(needs(within_share=True), hopeless), Rejected)
 
 
 def test_job_that_fits_behind_the_backlog_is_admitted() -> None:
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -11,7 +11,7 @@
 from trio.testing import MockClock
 
 from cyclamenshift.decisions.arrivals import Arrivals
-from cyclamenshift.decisions.overload.rhythm import LEAD_MS, Change
+from cyclamenshift.decisions.overload.demand_cycle import LEAD_MS, Change
 from cyclamenshift.job import NO_RESOURCES, Resources
 from cyclamenshift.scheduling.demand import DemandForecast
 
@@ -88,7 +88,7 @@
 ) -> None:
     """Deployments that do not ask for the forecast are served as before."""
     load = await start_load(job_cluster, demand_forecast=False)
-    assert load.demand.rhythm is None
+    assert load.demand.cycle is None
     window = Arrivals()
     for arrival in load.arrivals:
         await load.sleep_until(arrival.at)
@@ -115,6 +115,6 @@
     assert successor != owner
     demand = job_cluster.state(successor, 'desk').demand
     assert demand.expected() == NO_RESOURCES
-    assert demand.rhythm
-    assert not demand.rhythm.peaks
-    assert demand.rhythm.detector.onset is None
+    assert demand.cycle
+    assert not demand.cycle.peaks
+    assert demand.cycle.detector.onset is None
--- a/tests/test_rhythm.py
+++ b/tests/test_demand_cycle.py
@@ -1,6 +1,6 @@
 """
-tests.test_rhythm
-=================
+tests.test_demand_cycle
+=======================
 
 How the cycle of a service's demand is learned, and its next peak forecast.
 """
@@ -11,7 +11,7 @@
 
 import pytest
 
-from cyclamenshift.decisions.overload.rhythm import (
+from cyclamenshift.decisions.overload.demand_cycle import (
     ADVANCE_PERCENT,
     DETECTION_MS,
     LEAD_MS,
@@ -21,8 +21,8 @@
     MAX_TOLERANCE_MS,
     PERCENT,
     Change,
-    Rhythm,
-    RhythmEvent,
+    DemandCycle,
+    CycleEvent,
 )
 from cyclamenshift.decisions.schedules import work_of
 from cyclamenshift.job import NO_RESOURCES, Resources
@@ -44,15 +44,15 @@
     """An event, noted at ``at`` ms."""
 
     at: int
-    event: RhythmEvent
+    event: CycleEvent
 
 
 class Replay:
-    """A load that is replayed to a new ``Rhythm``."""
+    """A load that is replayed to a new ``DemandCycle``."""
 
     def __init__(self, seed: int, turns: list[Turn]) -> None:
         """Prepare to replay the jobs of ``desk``."""
-        self.rhythm = Rhythm(0)
+        self.cycle = DemandCycle(0)
         self.arrivals = [
             arrival
             for arrival in arrivals_in_turns(seed, turns)
@@ -66,10 +66,10 @@
         for now in range(0, until, INTERVAL_MS):
             while self.arrivals and self.arrivals[0].at <= now:
                 arrival = self.arrivals.pop(0)
-                self.rhythm.record(work_of(arrival.job), arrival.at)
-            self.forecasts[now] = self.rhythm.forecast(now)
+                self.cycle.record(work_of(arrival.job), arrival.at)
+            self.forecasts[now] = self.cycle.forecast(now)
             self.noted.extend(
-                Noted(now, event) for event in self.rhythm.take_events()
+                Noted(now, event) for event in self.cycle.take_events()
             )
         return self
 
@@ -134,12 +134,12 @@
 def test_steady_flow_has_no_forecast(seed: int, rate: int) -> None:
     """Chance clusters of jobs looked like peaks."""
     numbers = random.Random(seed)
-    rhythm = Rhythm(0)
+    cycle = DemandCycle(0)
     now: float = 0
     while now < 120_000:
         now += numbers.expovariate(rate / 1_000)
-        rhythm.record(work_of(uneven_job(numbers)), round(now))
-        assert rhythm.forecast(round(now)) == NO_RESOURCES
+        cycle.record(work_of(uneven_job(numbers)), round(now))
+        assert cycle.forecast(round(now)) == NO_RESOURCES
 
 
 def random_turns(numbers: random.Random) -> list[Turn]:
@@ -192,17 +192,17 @@
 def test_paused_process_starts_empty() -> None:
     """After a pause, a forecast was made from a history with a gap."""
     replay = Replay(1, TURNS).run(PEAKS[2].start - LEAD_MS - 1_000)
-    rhythm = replay.rhythm
-    assert rhythm.expected
-    now = rhythm.seen_at + MAX_GAP_MS + 1
-    assert rhythm.forecast(now) == NO_RESOURCES
-    assert not rhythm.expected
-    assert not rhythm.peaks
+    cycle = replay.cycle
+    assert cycle.expected
+    now = cycle.seen_at + MAX_GAP_MS + 1
+    assert cycle.forecast(now) == NO_RESOURCES
+    assert not cycle.expected
+    assert not cycle.peaks
 
 
 def test_memory_is_bounded() -> None:
     """A long day leaves no more behind than a short one."""
     turns = turns_of(('billing', 'desk'), 30)
-    rhythm = Replay(1, turns).run(turns[-1].end).rhythm
-    assert len(rhythm.peaks) == MAX_PEAKS
-    assert not rhythm.events
+    cycle = Replay(1, turns).run(turns[-1].end).cycle
+    assert len(cycle.peaks) == MAX_PEAKS
+    assert not cycle.events
--- a/tests/test_cheap_paths.py
+++ b/tests/test_fast_paths.py
@@ -1,6 +1,6 @@
 """
-tests.test_cheap_paths
-======================
+tests.test_fast_paths
+=====================
 
 Shorter ways of doing what each run or report needs give the same results.
 """
