--- a/cyclamenshift/clock.py
+++ b/cyclamenshift/clock.py
@@ -51,8 +51,3 @@
     def move_on_after(self, delay: int) -> trio.CancelScope:
         """Return a scope that is cancelled after *delay* milliseconds."""
         return trio.move_on_after(delay / MS_PER_SECOND)
-
-    def postpone(self, scope: trio.CancelScope, delay: int) -> None:
-        """Let *scope* end no earlier than *delay* milliseconds from now."""
-        earliest = self.current_time() + delay / MS_PER_SECOND
-        scope.deadline = max(scope.deadline, earliest)
--- a/cyclamenshift/directory.py
+++ b/cyclamenshift/directory.py
@@ -91,10 +91,6 @@
     body_limit: int
     accounts: Mapping[str, Account] = NO_ACCOUNTS
 
-    def account(self, name: str) -> Account | None:
-        """Return an account by name, None if there is none."""
-        return self.accounts.get(name)
-
 
 class Maintenance(NamedTuple):
     """
