--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -509,6 +510,7 @@
         for process in self.processes:
             process.wait()
         self.record_file.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def job_id():
