--- a/review/11/case.py
+++ b/review/11/case.py
@@ -17,7 +17,7 @@
 STEPS = [{'count': 1, 'cpu': 2000, 'memMb': 1024, 'perpetual': True}]
 SPEC = {'workMs': 0, 'cpu': 2000}
 #: How long after the start of a run its worker is cut off, and for how long, s.
-AGE_S, CUT_S = 0.7, 5.4
+AGE_S, CUT_S = 0.7, 2.0
 #: How often the job is asked for after the cuts, and how long between.
 LOOKS, LOOK_INTERVAL_S = 8, 2.0
 
