Take a refused connection for no proof of a crash

Two workers were cut off for 2 s each, 0.7 s after the starts of the task; connections to them were refused meanwhile, and both came back as the same processes.

Cause: where the leases of a worker had expired and its host refused the connection, a crash was counted for all that had run there. Two such crashes give a job up, which can't be taken back, and the report of the same process did not revise the count.

Such a crash is suspected now. It makes the task run apart, as a crash does, and holds it back where the crash, if real, would give it up. Another process under the id, or a registration that is missing for 5 s in a current view, proves it; the process's own report, or a registration that stays, disproves it. Suspected crashes are recorded apart from the counts, so that a successor settles them too. Runs lost in silence are no longer kept for a later crash once their worker has reported again (read, without a test).

Rivals: to wait for another process alone lets a task go on crashing workers that stay down; to start the task once more on suspicion takes another worker each few seconds.

Rows grow only for tasks with a suspected crash.

--- a/cyclamenshift/decisions/candidates.py
+++ b/cyclamenshift/decisions/candidates.py
@@ -44,7 +44,7 @@
     def accepts(self, task: Task) -> bool:
         """Return whether a single candidate may get *task*."""
         step = task.step
-        if step.gang or step.long_running or task.crashes.in_a_row:
+        if step.gang or step.long_running or task.possible_crashes.in_a_row:
             return False
         if self.rank is Rank.probe:
             # It has all its attempts left.
--- a/cyclamenshift/decisions/copies.py
+++ b/cyclamenshift/decisions/copies.py
@@ -85,7 +85,7 @@
     step = task.step
     may_repeat = not (step.gang or step.long_running)
     # A copy of a task that crashes its workers would crash another one.
-    is_single = len(task.attempts) == 1 and not task.crashes.in_a_row
+    is_single = len(task.attempts) == 1 and not task.possible_crashes.in_a_row
     is_over = task.done or task.job.state.final or task.job.suspended
     return may_repeat and is_single and not is_over
 
--- a/cyclamenshift/decisions/explanation.py
+++ b/cyclamenshift/decisions/explanation.py
@@ -36,6 +36,7 @@
     no_room = 'no worker has room'
     room_taken = 'steps that go first take the room'
     gang = 'the gang does not fit as a whole'
+    crashes = 'crashes under it are not proved yet, and would give it up'
     isolation = 'a worker crashed under it, and none is free for it alone'
     health = 'the workers with room accept only some tasks, as they failed'
     worker_limit = 'the workers with room are at the limit of the step'
@@ -216,8 +217,9 @@
     needed = reserved_resources(task.step)
     labelled = _with_label(task, next_pass.candidates.values())
     with_room = [each for each in labelled if each.free.can_fit(needed)]
-    if task.crashes.suspicious and not task.step.gang:
-        return WaitReason.isolation
+    apart = _reason_of_crashes(task)
+    if apart:
+        return apart
     if not with_room:
         had_room = any(
             next_pass.free_at[each.instance].can_fit(needed)
@@ -235,6 +237,13 @@
     )
 
 
+def _reason_of_crashes(task: Task) -> WaitReason | None:
+    if task.on_hold:
+        return WaitReason.crashes
+    apart = task.possible_crashes.suspicious and not task.step.gang
+    return WaitReason.isolation if apart else None
+
+
 def _with_label(task: Task, candidates: Iterable[Candidate]) -> list[Candidate]:
     label = task.step.required_label
     return [
--- a/cyclamenshift/decisions/placement.py
+++ b/cyclamenshift/decisions/placement.py
@@ -165,7 +165,7 @@
         step = task.step
         if task.attempts or task.failed_at or step.worker_limit:
             return None
-        if task.failures or task.crashes.in_a_row:
+        if task.failures or task.possible_crashes.in_a_row:
             return None
         if step.long_running and self.rack_of:
             return None
--- a/cyclamenshift/decisions/progress.py
+++ b/cyclamenshift/decisions/progress.py
@@ -17,6 +17,7 @@
 from .overload.run_times import RunTimeModel
 from .schedules import schedule_of
 from .start_orders import StartOrders
+from .suspected_crashes import SuspectedCrash, assume
 
 #: The id and the start time of a worker process.
 WorkerInstance: TypeAlias = tuple[str, int]
@@ -209,7 +210,7 @@
     ``failed_at`` are the workers where a run of it failed;
     ``failed_runs`` has the numbers of the runs counted in ``failures``, unless
     the task is long-running, and ``crashes`` tells of workers that crashed
-    while it ran there.
+    while it ran there.  ``suspected_crashes`` has those that are not proved.
     """
 
     def __init__(self, job: 'JobProgress', task_id: TaskId, step: Step) -> None:
@@ -221,6 +222,7 @@
         self.failures = 0
         self.failed_runs: set[int] = set()
         self.crashes = Crashes()
+        self.suspected_crashes: dict[WorkerInstance, SuspectedCrash] = {}
         self.checkpoint = ''
         self.done = False
         self.run_time: int | None = None
@@ -233,6 +235,27 @@
         """Whether the task is ready to be started."""
         return not self.done and not self.attempts
 
+    @property
+    def possible_crashes(self) -> Crashes:
+        """The crashes with those that are only suspected."""
+        if not self.suspected_crashes:
+            return self.crashes
+        return assume(self.crashes, self.suspected_crashes.values())
+
+    @property
+    def on_hold(self) -> bool:
+        """
+        Whether it waits until suspected crashes are proved or disproved.
+
+        They would prove that it crashes its workers.  The members of a gang
+        share a count.
+        """
+        counting = self.job.counting_task(self) if self.step.gang else self
+        return (
+            bool(counting.suspected_crashes)
+            and counting.possible_crashes.proved
+        )
+
     def position(self) -> tuple[int, int, int]:
         """Return the occurrence, step and ordinal of the task."""
         return (
--- a/cyclamenshift/decisions/records.py
+++ b/cyclamenshift/decisions/records.py
@@ -9,9 +9,15 @@
 from typing import Final
 
 from ..job import JobState
-from ..jobrows import ActiveRun, AttemptedTask, ProgressRow
-from .crashes import Crashes
+from ..jobrows import (
+    ActiveRun,
+    AttemptedTask,
+    ProgressRow,
+    SuspectedCrashRow,
+)
+from .crashes import Crashes, KnownAge, MinimumAge
 from .progress import Attempt, JobProgress, Phase, Task
+from .suspected_crashes import SuspectedCrash
 
 #: The base in which the bitmap of done tasks is written.
 HEXADECIMAL: Final = 16
@@ -113,12 +119,24 @@
         attempted['crashes'] = (task.crashes.in_a_row, task.crashes.age)
     if task.crashes.uncertain:
         attempted['uncertain'] = task.crashes.uncertain
+    if task.suspected_crashes:
+        attempted['suspected'] = [
+            SuspectedCrashRow(
+                worker=instance,
+                age=suspected.age.ms,
+                known=isinstance(suspected.age, KnownAge),
+                alone=suspected.alone,
+            )
+            for instance, suspected in task.suspected_crashes.items()
+        ]
     return attempted
 
 
 def _shown_by_runs(task: Task) -> bool:
     """Return whether the active runs of a task tell all that was attempted."""
-    is_new = not (task.failures or task.checkpoint or task.crashes.in_a_row)
+    is_new = not (
+        task.failures or task.checkpoint or task.possible_crashes.in_a_row
+    )
     return is_new and task.last_run in task.attempts
 
 
@@ -141,6 +159,11 @@
     task.crashes = Crashes(*attempted.get('crashes', ()))._replace(
         uncertain=attempted.get('uncertain', 0)
     )
+    for row in attempted.get('suspected', ()):
+        age_type = KnownAge if row['known'] else MinimumAge
+        task.suspected_crashes[row['worker']] = SuspectedCrash(
+            age_type(row['age']), row['alone']
+        )
     if task.step.long_running:
         return
     task.failed_runs = set(attempted.get('failed_runs', ()))
--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 from ..directory import Queue
 from ..job import (
@@ -20,7 +20,7 @@
 )
 from ..jobrows import ProgressRow
 from .accounts.usage import AccountUsages
-from .crashes import MAX_CAUSE_AGE_MS, Crashes, RunAge
+from .crashes import MAX_CAUSE_AGE_MS, Crashes
 from .overload.run_samples import RunTimeLearner
 from .progress import (
     UNCONFIRMED,
@@ -43,18 +43,6 @@
 )
 
 
-class WorkerCrash(NamedTuple):
-    """
-    The crash of a worker, last known to be alive at ``alive_at``.
-
-    The time is in monotonic ms, None if unknown.  ``settled`` tells whether it
-    had been up for long enough not to go down by itself.
-    """
-
-    alive_at: int | None
-    settled: bool
-
-
 class JobTracker:
     """
     The jobs of one service and the resources that their attempts use.
@@ -159,6 +147,7 @@
         attempt.see(clock)
         if _clears_crashes(attempt):
             attempt.task.crashes = Crashes()
+            attempt.task.suspected_crashes.clear()
             self.mark_dirty(attempt.task.job)
         attempt.task.job.started = True
         phase = attempt.phase
@@ -231,27 +220,6 @@
         for attempt in self.attempts_at(instance):
             attempt.in_touch = False
 
-    def record_crash(
-        self, lost: Iterable[Attempt], crash: WorkerCrash, wall_time: int
-    ) -> list[Task]:
-        """
-        Count the crash of a worker for the tasks that ran there.
-
-        Returns the tasks that are given up, which fail their jobs.
-        """
-        ages = _ages_by_task(lost, crash.alive_at)
-        causes = sum(_may_be_cause(task, age) for task, age in ages.items())
-        alone = crash.settled and causes <= 1
-        given_up: list[Task] = []
-        for task, age in ages.items():
-            if task.done or task.job.state.final:
-                continue
-            effect = task.job.record_crash(task, age, wall_time, alone=alone)
-            self.apply_effect(task.job, effect)
-            if task.job.state.final:
-                given_up.append(task)
-        return given_up
-
     def cancel(self, job_id: str, wall_time: int) -> JobProgress | None:
         """Cancel a job; return None if it is unknown or already final."""
         progress = self.jobs.get(job_id)
@@ -341,7 +309,7 @@
     A gang shares one count, so one of its members can't clear it.
     """
     task = attempt.task
-    if not task.crashes.in_a_row or task.step.gang:
+    if not task.possible_crashes.in_a_row or task.step.gang:
         return False
     return attempt.seen_for > MAX_CAUSE_AGE_MS
 
@@ -353,22 +321,6 @@
     return [member for member in members if member]
 
 
-def _ages_by_task(
-    lost: Iterable[Attempt], alive_at: int | None
-) -> dict[Task, RunAge]:
-    """Return how old the runs that were there got, by the counting task."""
-    return {
-        attempt.task.job.counting_task(attempt.task): attempt.age(alive_at)
-        for attempt in lost
-        if attempt.phase not in UNANSWERED_PHASES
-    }
-
-
-def _may_be_cause(task: Task, age: RunAge) -> bool:
-    """Return whether a run that got to *age* may have crashed its worker."""
-    return not task.step.long_running and age.ms <= MAX_CAUSE_AGE_MS
-
-
 def reserved_resources(step: Step) -> Resources:
     """
     Return the resources that a task of *step* reserves at its worker.
--- a/cyclamenshift/jobrows.py
+++ b/cyclamenshift/jobrows.py
@@ -60,6 +60,20 @@
     worker: tuple[str, int]
 
 
+class SuspectedCrashRow(TypedDict):
+    """
+    A crash of ``worker``, an instance, that is not proved.
+
+    The run of the task had got to ``age``, ms, or to more if it is not
+    ``known``.  ``alone`` is whether no other cause is likely.
+    """
+
+    worker: tuple[str, int]
+    age: int
+    known: bool
+    alone: bool
+
+
 class AttemptedTask(TypedDict):
     """
     A task that was started at least once and is not done.
@@ -68,8 +82,9 @@
     saved a checkpoint, nor been at a crash; the active run then holds the
     same.  Rows of earlier builds lack ``failed_runs``, the numbers of the runs
     in ``failures``, ``crashes``, the crashes in a row that it may have
-    caused and the greatest age of its run at such a moment, ms, and
-    ``uncertain``, how many of these came at an unknown age.
+    caused and the greatest age of its run at such a moment, ms,
+    ``uncertain``, how many of these came at an unknown age, and
+    ``suspected``, the crashes that are not proved.
     """
 
     task: tuple[int, int, int]
@@ -79,6 +94,7 @@
     failed_runs: NotRequired[list[int]]
     crashes: NotRequired[tuple[int, int]]
     uncertain: NotRequired[int]
+    suspected: NotRequired[list[SuspectedCrashRow]]
 
 
 class ProgressRow(TypedDict):
--- a/cyclamenshift/scheduling/job_reader.py
+++ b/cyclamenshift/scheduling/job_reader.py
@@ -188,6 +188,7 @@
             return None
         progress = JobProgress(job, queue, self.tracker.run_times)
         self.tracker.restore(progress, fields, wall_time, self.clock.now())
+        self.state.crashes.ledger.restore(progress)
         return progress
 
     def _resume_suspended(self) -> None:
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -191,6 +191,7 @@
         for worker in registered.values():
             self.state.session_for(worker)
         self.state.drop_unregistered()
+        self.state.settle_crashes()
         self.state.health.retain(self.state.sessions)
         self.state.health.check_running(self.tracker)
         self._start_renewers(nursery)
@@ -208,10 +209,12 @@
         Close the session of an unregistered worker once it has no runs.
 
         It is kept while its calls may act on the next process under its id,
-        which has to know of them.  Another registration under the id does not
-        prove that it has restarted; a report of the process that it tells of
-        does.
+        which has to know of them, and while its crash is suspected.  Another
+        registration under the id does not prove that it has restarted; a
+        report of the process that it tells of does.
         """
+        if self.state.crashes.is_suspected(session.worker.instance):
+            return
         current = self.directory.workers.get(session.worker.worker_id)
         awaits_report = (
             current is not None
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -5,14 +5,13 @@
 The state shared by the tasks of one service's scheduler.
 """
 
-from collections.abc import Iterable
+from functools import cached_property
 from typing import Any, Final
 
 import trio
 
 from ..clock import Clock
 from ..component import Host
-from ..decisions.crashes import SETTLED_MS
 from ..decisions.evidence import (
     LeasesExpired,
     ProcessReplaced,
@@ -22,7 +21,7 @@
 from ..decisions.overload.run_samples import RunTimeLearner
 from ..decisions.progress import Attempt, WorkerInstance
 from ..decisions.reports import ReportApplication, ReportResult
-from ..decisions.tracker import JobTracker, WorkerCrash
+from ..decisions.tracker import JobTracker
 from ..directory import Directory
 from ..duty import OwnershipTerm
 from ..job import RunId
@@ -30,6 +29,7 @@
 from ..settings import JobSettings
 from ..store import get_store_client
 from ..worker import Worker, WorkerClient, WorkerReport
+from .crash_recorder import CrashRecorder
 from .demand import DemandForecast
 from .health_monitor import HealthMonitor
 from .order_window import OrderWindow
@@ -60,7 +60,6 @@
         )
         log = get_logger(f'scheduler.{self.service}')
         self.run_log = RunLog(kernel.clock, log, term)
-        self.client = kernel.get(WorkerClient)
         self.health = HealthMonitor(
             kernel.clock,
             log,
@@ -71,6 +70,7 @@
             if kernel.settings['overload']['learned_run_times']
             else None
         )
+        self.crashes = CrashRecorder(kernel.clock, log, self.tracker)
         self.demand = DemandForecast(
             kernel, log, self.service, self.tracker.run_times
         )
@@ -93,6 +93,11 @@
         )
         self.changed = trio.Event()
 
+    @cached_property
+    def client(self) -> WorkerClient:
+        """The client that sends orders to the workers."""
+        return self.kernel.get(WorkerClient)
+
     @property
     def clock(self) -> Clock:
         """The clock of the process."""
@@ -168,8 +173,11 @@
 
         It was asked for at the position *asked* of the session's calls.
         """
-        if not session.has_reported and not session.closed:
-            self._follow_restarts_to(session)
+        if not session.closed:
+            if not session.has_reported:
+                self._follow_restarts_to(session)
+            session.given_up = ()
+            self.crashes.dismiss(session.worker)
         new_ends = session.end_log.select_new(report.ended)
         new_report = report._replace(ended=new_ends)
         report_result = ReportApplication(
@@ -209,7 +217,9 @@
         session.wake()
         lost = self._mark_runs_lost(session, ProcessReplaced(), reason)
         if restarted:
-            self._record_crash(session, (*session.given_up, *lost))
+            self.crashes.record(session, (*session.given_up, *lost))
+            self.recorder.notify()
+            self.wake()
 
     def follow_restart(self, session: WorkerSession, started_at: int) -> None:
         """
@@ -235,7 +245,9 @@
             later = self.sessions[successor.instance]
             later.end_log.predecessor = session.end_log
         self._move_runs(instance, successor, leases_until)
-        self._record_crash(session, (*session.given_up, *crashed))
+        self.crashes.record(session, (*session.given_up, *crashed))
+        self.recorder.notify()
+        self.wake()
 
     def bound_successor_leases(self, session: WorkerSession) -> None:
         """Wait for a lease that a call of a closed session may have given."""
@@ -264,13 +276,13 @@
         """
         Mark the runs of a worker as lost after its last lease expired.
 
-        Where the host refuses connections, the process has ended.  Otherwise
-        it may be cut off; whether it had crashed shows once it is replaced.
+        Whether it had crashed shows once it is replaced.  It is suspected
+        where the host refuses connections; otherwise a cut is more likely.
         """
         evidence = LeasesExpired(session.lease, self.clock.now())
         lost = self._mark_runs_lost(session, evidence, 'leases expired')
         if session.silence and session.silence.refused:
-            self._record_crash(session, lost)
+            self.crashes.suspect(session, lost)
         else:
             session.given_up = (*session.given_up, *lost)
 
@@ -291,6 +303,20 @@
                 self.run_log.record_unregistered(instance, lost)
                 self.recorder.notify()
 
+    def settle_crashes(self) -> None:
+        """Settle the suspected crashes by the registrations."""
+        if not self.crashes.ledger.suspects:
+            return
+        if self.knows_workers:
+            self.crashes.settle(
+                instance
+                for instance, session in self.sessions.items()
+                if session.registered
+            )
+            self.recorder.notify()
+        else:
+            self.crashes.restart_spans()
+
     def _follow_restarts_to(self, session: WorkerSession) -> None:
         """Let a process that reports answer for the earlier ones of its id."""
         worker_id, started_at = session.worker.instance
@@ -307,8 +333,9 @@
             crashed = self.tracker.answered_attempts_at(instance)
             leases_until = self.lease_bounds.longest_from(self.clock.now())
             self._move_runs(instance, session.worker, leases_until)
-            crash = WorkerCrash(None, settled=False)
-            self._count_crash(worker_id, crashed, crash)
+            self.crashes.record_earlier(instance, crashed)
+        self.crashes.confirm_before(session.worker)
+        self.recorder.notify()
 
     def _open_session(self, worker: Worker) -> None:
         lease = self.lease_bounds.initial_lease()
@@ -332,34 +359,6 @@
         self.recorder.notify()
         self.wake()
 
-    def _record_crash(
-        self, session: WorkerSession, lost: Iterable[Attempt]
-    ) -> None:
-        """Count the crash of a worker for the tasks that ran there."""
-        now = self.clock.now()
-        if not session.leaves_as_planned(now):
-            uptime = self.clock.wall_time() - session.worker.started_at
-            crash = WorkerCrash(
-                session.alive_at(now), settled=uptime >= SETTLED_MS
-            )
-            self._count_crash(session.worker.worker_id, lost, crash)
-
-    def _count_crash(
-        self, worker_id: str, lost: Iterable[Attempt], crash: WorkerCrash
-    ) -> None:
-        wall_time = self.clock.wall_time()
-        for task in self.tracker.record_crash(lost, crash, wall_time):
-            self.log.warning(
-                'Job given up: a task crashes its workers.',
-                task=task.task_id,
-                crashes=task.crashes.in_a_row,
-                worker=worker_id,
-                age_ms=task.crashes.age,
-                uncertain=task.crashes.uncertain,
-            )
-        self.recorder.notify()
-        self.wake()
-
     def _mark_runs_lost(
         self, session: WorkerSession, evidence: Any, reason: str
     ) -> list[Attempt]:
--- a/cyclamenshift/scheduling/suspects.py
+++ b/cyclamenshift/scheduling/suspects.py
@@ -88,7 +88,9 @@
         self.placements: list[Placement] = []
         self.held: WorkerInstance | None = None
         for task in state.tracker.waiting.values():
-            apart = task.crashes.suspicious and not task.step.gang
+            if task.on_hold:
+                continue
+            apart = task.possible_crashes.suspicious and not task.step.gang
             (self.tasks if apart else self.others).append(task)
         waits.update(self.tasks, now)
         self.shared_placements: list[SharedPlacement] = []
@@ -128,7 +130,7 @@
             self.state.log.note(
                 'Suspect placed beside other runs.',
                 task=shared.task.task_id,
-                crashes=shared.task.crashes.in_a_row,
+                crashes=shared.task.possible_crashes.in_a_row,
                 worker=shared.worker,
                 waited_ms=self.waits.waited(shared.task, self.now),
                 old_runs=shared.old_runs,
@@ -149,7 +151,7 @@
     def _kind_of(self, task: Task) -> SuspectKind:
         return SuspectKind(
             demand_of(task),
-            task.crashes.in_a_row,
+            task.possible_crashes.in_a_row,
             self.waits.waited(task, self.now) < MAX_ISOLATION_WAIT_MS,
         )
 
@@ -159,7 +161,9 @@
         """Place *task* or hold a worker for it; return whether it may start."""
         occupancies = self._occupancies(task, candidates.values())
         choice = choose_worker(
-            task.crashes, self.waits.waited(task, self.now), occupancies
+            task.possible_crashes,
+            self.waits.waited(task, self.now),
+            occupancies,
         )
         if choice is None:
             return False
@@ -204,7 +208,7 @@
             fits_later=fits or self._fits(task, candidate, later),
             on_probation=bool(suspects),
             shareable=bool(suspects)
-            and all(each.crashes.in_a_row == 1 for each in suspects),
+            and all(each.possible_crashes.in_a_row == 1 for each in suspects),
         )
 
     def _fits(self, task: Task, candidate: Candidate, free: Resources) -> bool:
@@ -239,7 +243,9 @@
     def _find_runs_on_probation(self) -> None:
         for attempts_by_run in self.state.tracker.attempts_by_worker.values():
             for attempt in attempts_by_run.values():
-                if attempt.task.crashes.on_probation(self._age(attempt)):
+                if attempt.task.possible_crashes.on_probation(
+                    self._age(attempt)
+                ):
                     tasks = self.probation.setdefault(attempt.instance, [])
                     tasks.append(attempt.task)
 
@@ -275,4 +281,4 @@
 
 
 def _count_crashes(task: Task) -> int:
-    return task.crashes.in_a_row
+    return task.possible_crashes.in_a_row
--- a/tests/standins/worker_client.py
+++ b/tests/standins/worker_client.py
@@ -43,6 +43,7 @@
 POLL_INTERVAL_MS = 5
 
 CONNECTION_LOST = Unanswered(sent=True, reason='connection lost')
+REFUSED_CONNECTION = Unanswered(sent=False, reason='refused', refused=True)
 SILENT = Unanswered(sent=True, reason='silent')
 
 AnswerType = TypeVar('AnswerType')
@@ -133,7 +134,7 @@
             if self.clock.now() >= deadline:
                 break
             await self.clock.sleep(POLL_INTERVAL_MS)
-            if life.crashed:
+            if self.workers.resets(life):
                 return CONNECTION_LOST
             held = self.workers.renew(life, order)
         age = next_delay(self.workers.faults.list_ages)
@@ -184,11 +185,11 @@
         )
         if faults.loses_calls(worker.worker_id) or is_refusal_lost:
             return await self._time_out()
-        if sim.crashed:
+        if self.workers.resets(sim):
             await self.clock.sleep(ORDER_MS)
             if sim.replaced:
                 return Refused(RefusalReason.replaced)
-            return Unanswered(sent=False, reason='refused', refused=True)
+            return REFUSED_CONNECTION
         if sim.is_unreachable_from(self.kernel.settings['entry']['id']):
             return await self._time_out()
         self.workers.order_count += 1
--- a/tests/standins/worker_faults.py
+++ b/tests/standins/worker_faults.py
@@ -35,7 +35,8 @@
     value in ``late_renewals`` and ``late_acknowledgements``, one renewal, or
     one that acknowledges ends, gets no answer and is carried out that many ms
     late, by the process that is up then.  A cut in ``cuts`` lasts until it is
-    removed.
+    removed.  Connections to the workers in ``refused`` are refused, and open
+    ones are reset, while their processes work on.
     """
 
     def __init__(self) -> None:
@@ -48,6 +49,7 @@
         self.late_renewals: list[int] = []
         self.late_acknowledgements: list[int] = []
         self.cuts: list[Cut] = []
+        self.refused: set[str] = set()
 
     def clear(self) -> None:
         """End all faults."""
@@ -59,6 +61,7 @@
         self.late_renewals.clear()
         self.late_acknowledgements.clear()
         self.cuts.clear()
+        self.refused.clear()
 
     def heal(self, cut: Cut) -> None:
         """End *cut*, unless all faults have ended before."""
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -129,6 +129,10 @@
                 sim.running.clear()
                 self._expire_ends(sim)
 
+    def resets(self, sim: SimWorker) -> bool:
+        """Return whether the open connections to a worker are reset."""
+        return sim.crashed or sim.worker.worker_id in self.faults.refused
+
     def current_instance(self, worker_id: str) -> SimWorker:
         """Return the latest instance of a worker."""
         return max(
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -9,6 +9,7 @@
 import trio
 from trio.testing import MockClock
 
+from cyclamenshift.decisions.crash_ledger import CrashLedger, WorkerCrash
 from cyclamenshift.decisions.crashes import (
     MAX_CAUSE_AGE_MS,
     MAX_CRASHES,
@@ -20,7 +21,7 @@
     choose_worker,
 )
 from cyclamenshift.decisions.progress import Phase
-from cyclamenshift.decisions.tracker import JobTracker, WorkerCrash
+from cyclamenshift.decisions.tracker import JobTracker
 from cyclamenshift.job import Job, JobState, Step, TaskId
 
 from .builders import job, occupancy, queue, step
@@ -168,7 +169,7 @@
     for attempt in attempts:
         attempt.phase = Phase.running
         attempt.ordered_at = attempt.planned_at
-    tracker.record_crash(attempts, WorkerCrash(beside, settled=True), 0)
+    CrashLedger(tracker).record(attempts, WorkerCrash(beside, settled=True), 0)
     assert suspect.crashes.proved is expected
 
 
--- a/tests/test_unknown_ages.py
+++ b/tests/test_unknown_ages.py
@@ -9,11 +9,12 @@
 import trio
 from trio.testing import MockClock
 
+from cyclamenshift.decisions.crash_ledger import CrashLedger, WorkerCrash
 from cyclamenshift.decisions.crashes import MAX_CAUSE_AGE_MS, MAX_CRASHES
 from cyclamenshift.decisions.progress import Attempt, JobProgress, Phase, Task
 from cyclamenshift.decisions.records import row_of
 from cyclamenshift.decisions.reports import ReportApplication
-from cyclamenshift.decisions.tracker import JobTracker, WorkerCrash
+from cyclamenshift.decisions.tracker import JobTracker
 from cyclamenshift.job import Job, JobState, RunId, RunStatus
 from cyclamenshift.worker import WorkerReport
 
@@ -91,7 +92,9 @@
 def crash(tracker: JobTracker, alive_at: int) -> None:
     """Lose the runs with a settled worker that was alive at *alive_at*."""
     lost = tracker.weigh_all_at(INSTANCE, leases_expired())
-    tracker.record_crash(lost, WorkerCrash(alive_at, settled=True), WALL_START)
+    CrashLedger(tracker).record(
+        lost, WorkerCrash(alive_at, settled=True), WALL_START
+    )
 
 
 def test_run_restored_from_the_row_is_given_up() -> None:
