Remember start orders without an answer past the end of their runs

A proxy passes a call on after its connection has gone.

Each order without an answer is remembered for 15 s now, by the id of the worker alone. A process that is new under the id is told to stop these runs after its first report, all at once, and gets no start before it has answered; a run that is not higher than a stopped one is refused there.

The runs that silent workers have lost move from the session to the recorder of crashes, without a change of what is done with them.

--- a/cyclamenshift/decisions/tracker.py
+++ b/cyclamenshift/decisions/tracker.py
@@ -21,6 +21,7 @@
 from ..jobrows import ProgressRow
 from .accounts.usage import AccountUsages
 from .crashes import MAX_CAUSE_AGE_MS, Crashes
+from .open_orders import OpenOrders
 from .overload.run_samples import RunTimeLearner
 from .progress import (
     UNCONFIRMED,
@@ -52,7 +53,8 @@
     unrecorded changes; ``to_stop`` the attempts to stop; ``to_settle`` those
     that may be at another instance of their worker.  ``used`` is the sum
     of the resources reserved at each worker, ``account_usages`` that of each
-    account.  ``learner`` learns the run times, and ``run_times`` predicts
+    account.  ``open_orders`` are the start orders without an answer.
+    ``learner`` learns the run times, and ``run_times`` predicts
     them, both None if they are not learned.
     """
 
@@ -69,6 +71,7 @@
         self.attempts_by_worker: dict[WorkerInstance, dict[RunId, Attempt]] = {}
         self.used: dict[WorkerInstance, Resources] = {}
         self.account_usages = AccountUsages()
+        self.open_orders = OpenOrders()
 
     def add(self, job: Job, queue: Queue, wall_time: int) -> JobProgress | None:
         """Add a new job; return None if it is already tracked."""
--- a/cyclamenshift/scheduling/crash_recorder.py
+++ b/cyclamenshift/scheduling/crash_recorder.py
@@ -9,7 +9,7 @@
 that the worker has ended, or its own report that it has not.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple
 
 from ..clock import Clock
@@ -39,7 +39,9 @@
     """
     Records the crashes of workers, and settles those that are suspected.
 
-    ``spans`` has the registrations of the workers whose crash is suspected.
+    ``spans`` has the registrations of the workers whose crash is suspected,
+    ``silent`` the runs that were lost at workers that did not answer: these may
+    be cut off, so that nothing is suspected before another process answers.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         self.log = log
         self.ledger = CrashLedger(tracker)
         self.spans: dict[WorkerInstance, RegistrationSpan] = {}
+        self.silent: dict[WorkerInstance, list[Attempt]] = {}
 
     def is_suspected(self, instance: WorkerInstance) -> bool:
         """Return whether a crash of a worker is neither proved nor not."""
@@ -58,6 +61,7 @@
     def record(self, session: WorkerSession, lost: Iterable[Attempt]) -> None:
         """Count the proved crash of a worker, unless it was to leave."""
         worker = session.worker
+        lost = (*self.silent.pop(worker.instance, ()), *lost)
         now = self.clock.now()
         if session.leaves_as_planned(now):
             self.dismiss(worker)
@@ -78,25 +82,19 @@
         given_up = self.ledger.record(lost, crash, wall_time)
         self._log_given_up(instance[0], given_up)
 
-    def suspect(self, session: WorkerSession, lost: Iterable[Attempt]) -> None:
-        """Suspect that a worker has crashed, unless it was to leave."""
-        now = self.clock.now()
-        if session.leaves_as_planned(now):
-            return
-        instance = session.worker.instance
-        crash = self._crash_of(session, now)
-        suspects = self.ledger.suspect(instance, lost, crash)
-        if suspects:
-            self.log.note(
-                'Crash suspected: connections are refused.',
-                worker=instance[0],
-                started_at=instance[1],
-                tasks=[task.task_id for task in suspects],
-                on_hold=[task.task_id for task in suspects if task.on_hold],
-            )
+    def record_lost(
+        self, session: WorkerSession, lost: Sequence[Attempt]
+    ) -> None:
+        """Record the runs that were lost as the leases of a worker expired."""
+        if session.silence and session.silence.refused:
+            self._suspect(session, lost)
+        elif lost:
+            silent = self.silent.setdefault(session.worker.instance, [])
+            silent.extend(lost)
 
     def dismiss(self, worker: Worker) -> None:
         """Drop the suspected crash of a worker that is alive, or was to end."""
+        self.silent.pop(worker.instance, None)
         self._dismiss(worker.instance, 'reported or leaving')
 
     def confirm_before(self, worker: Worker) -> None:
@@ -128,6 +126,23 @@
         """Wait anew, as the registrations are not current."""
         self.spans.clear()
 
+    def _suspect(self, session: WorkerSession, lost: Iterable[Attempt]) -> None:
+        """Suspect that a worker has crashed, unless it was to leave."""
+        now = self.clock.now()
+        if session.leaves_as_planned(now):
+            return
+        instance = session.worker.instance
+        crash = self._crash_of(session, now)
+        suspects = self.ledger.suspect(instance, lost, crash)
+        if suspects:
+            self.log.note(
+                'Crash suspected: connections are refused.',
+                worker=instance[0],
+                started_at=instance[1],
+                tasks=[task.task_id for task in suspects],
+                on_hold=[task.task_id for task in suspects if task.on_hold],
+            )
+
     def _span_of(
         self, instance: WorkerInstance, registered: bool, now: int
     ) -> RegistrationSpan:
--- a/cyclamenshift/scheduling/orders.py
+++ b/cyclamenshift/scheduling/orders.py
@@ -92,11 +92,14 @@
         worker = self.session.worker
         now = self.state.clock.now()
         self.attempt.orders.record_sent(now)
+        open_orders = self.state.tracker.open_orders
+        order = open_orders.record_sent(worker.instance, self.attempt.run, now)
         self.session.calls.open_grants += 1
         self.least_clock = self.session.lease.min_clock(now)
         result = await self.state.client.start(worker, self._start_order())
         self.attempt.orders.record_result(result, self.attempt.instance[1])
         if not isinstance(result, Unanswered) or not result.sent:
+            open_orders.record_answered(order)
             self.session.calls.open_grants -= 1
             self.session.calls.granted_at = self.session.calls.advance()
         self.session.wake()
@@ -290,6 +293,27 @@
     await _handle_stop_result(state, session, result)
 
 
+async def refuse_late_run(
+    state: ServiceState,
+    session: WorkerSession,
+    run: RunId,
+) -> None:
+    """
+    Let a restarted worker refuse a run that a late order would start there.
+
+    It gets no other runs before it has, or the order can't come any more.
+    """
+    until = session.late_runs.get(run, 0)
+    while not session.closed and state.clock.now() <= until:
+        result = await state.client.stop(session.worker, run, state.term.epoch)
+        if isinstance(result, Accepted):
+            break
+        await _handle_stop_result(state, session, result)
+        await state.clock.sleep(RETRY_DELAY_MS)
+    session.late_runs.pop(run, None)
+    state.wake()
+
+
 async def _handle_stop_result(
     state: ServiceState,
     session: WorkerSession,
--- a/cyclamenshift/scheduling/run_log.py
+++ b/cyclamenshift/scheduling/run_log.py
@@ -160,6 +160,14 @@
             epoch=self.term.epoch,
         )
 
+    def record_late_runs(self, session: WorkerSession) -> None:
+        """Log the runs that a restarted worker is told to refuse."""
+        self._note(
+            'Late orders may reach a restarted worker.',
+            session,
+            runs=list(session.late_runs),
+        )
+
     def record_moved(
         self,
         instance: WorkerInstance,
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -22,7 +22,12 @@
 from .job_reader import JobReader
 from .lease_renewer import LeaseRenewer
 from .order_window import OrderWindow
-from .orders import settle_attempt, stop_attempt, stop_orphan
+from .orders import (
+    refuse_late_run,
+    settle_attempt,
+    stop_attempt,
+    stop_orphan,
+)
 from .placer import Placer
 from .refused_jobs import RefusedJobs
 from .reporting import report_pool
@@ -191,7 +196,8 @@
         for worker in registered.values():
             self.state.session_for(worker)
         self.state.drop_unregistered()
-        self.state.settle_crashes()
+        self._settle_crashes()
+        self.tracker.open_orders.prune(self.clock.now())
         self.state.health.retain(self.state.sessions)
         self.state.health.check_running(self.tracker)
         self._start_renewers(nursery)
@@ -218,7 +224,7 @@
         current = self.directory.workers.get(session.worker.worker_id)
         awaits_report = (
             current is not None
-            and bool(session.given_up)
+            and session.worker.instance in self.state.crashes.silent
             and not session.closed
         )
         if session.affects_successor(self.clock.now()) or awaits_report:
@@ -226,6 +232,21 @@
         if not self.state.has_runs(session):
             self.state.close_session(session, 'gone', restarted=False)
             self.state.sessions.pop(session.worker.instance)
+            self.state.crashes.silent.pop(session.worker.instance, None)
+
+    def _settle_crashes(self) -> None:
+        """Settle the suspected crashes by the registrations."""
+        crashes = self.state.crashes
+        if not crashes.ledger.suspects:
+            return
+        if self.state.knows_workers:
+            sessions = self.state.sessions.items()
+            crashes.settle(
+                instance for instance, session in sessions if session.registered
+            )
+            self.state.recorder.notify()
+        else:
+            crashes.restart_spans()
 
     def _evict_leaving_workers(self, nursery: trio.Nursery) -> None:
         for session in self.state.sessions.values():
@@ -278,5 +299,8 @@
             if session is None:
                 continue
             for run in runs:
-                nursery.start_soon(stop_orphan, self.state, session, run)
+                stop = (
+                    refuse_late_run if run in session.late_runs else stop_orphan
+                )
+                nursery.start_soon(stop, self.state, session, run)
         self.state.orphans.clear()
--- a/cyclamenshift/scheduling/state.py
+++ b/cyclamenshift/scheduling/state.py
@@ -173,10 +173,10 @@
 
         It was asked for at the position *asked* of the session's calls.
         """
+        is_first = not session.has_reported
         if not session.closed:
-            if not session.has_reported:
+            if is_first:
                 self._follow_restarts_to(session)
-            session.given_up = ()
             self.crashes.dismiss(session.worker)
         new_ends = session.end_log.select_new(report.ended)
         new_report = report._replace(ended=new_ends)
@@ -196,6 +196,8 @@
             self.kernel.metrics.load.record_run_time(self.service, *sample)
         self.run_log.record_report(session, new_report, report_result)
         self.health.record_ends(session.worker.instance, report_result.ended)
+        if is_first:
+            self._find_late_runs(session)
         if report_result.orphans:
             orphans = self.orphans.setdefault(session.worker.instance, set())
             orphans.update(report_result.orphans)
@@ -217,7 +219,7 @@
         session.wake()
         lost = self._mark_runs_lost(session, ProcessReplaced(), reason)
         if restarted:
-            self.crashes.record(session, (*session.given_up, *lost))
+            self.crashes.record(session, lost)
             self.recorder.notify()
             self.wake()
 
@@ -245,7 +247,7 @@
             later = self.sessions[successor.instance]
             later.end_log.predecessor = session.end_log
         self._move_runs(instance, successor, leases_until)
-        self.crashes.record(session, (*session.given_up, *crashed))
+        self.crashes.record(session, crashed)
         self.recorder.notify()
         self.wake()
 
@@ -281,10 +283,7 @@
         """
         evidence = LeasesExpired(session.lease, self.clock.now())
         lost = self._mark_runs_lost(session, evidence, 'leases expired')
-        if session.silence and session.silence.refused:
-            self.crashes.suspect(session, lost)
-        else:
-            session.given_up = (*session.given_up, *lost)
+        self.crashes.record_lost(session, lost)
 
     def drop_unregistered(self) -> None:
         """
@@ -303,19 +302,18 @@
                 self.run_log.record_unregistered(instance, lost)
                 self.recorder.notify()
 
-    def settle_crashes(self) -> None:
-        """Settle the suspected crashes by the registrations."""
-        if not self.crashes.ledger.suspects:
-            return
-        if self.knows_workers:
-            self.crashes.settle(
-                instance
-                for instance, session in self.sessions.items()
-                if session.registered
-            )
-            self.recorder.notify()
-        else:
-            self.crashes.restart_spans()
+    def _find_late_runs(self, session: WorkerSession) -> None:
+        """Find what orders to earlier processes may start at this one."""
+        instance = session.worker.instance
+        tracked = self.tracker.attempts_by_worker.get(instance, {})
+        found = self.tracker.open_orders.find_late(instance, self.clock.now())
+        session.late_runs = {
+            run: until for run, until in found.items() if run not in tracked
+        }
+        if session.late_runs:
+            self.run_log.record_late_runs(session)
+            orphans = self.orphans.setdefault(instance, set())
+            orphans.update(session.late_runs)
 
     def _follow_restarts_to(self, session: WorkerSession) -> None:
         """Let a process that reports answer for the earlier ones of its id."""
--- a/cyclamenshift/scheduling/worker_session.py
+++ b/cyclamenshift/scheduling/worker_session.py
@@ -11,8 +11,8 @@
 
 from ..decisions.call_order import CallOrder
 from ..decisions.leases import Lease
-from ..decisions.progress import Attempt
 from ..decisions.run_ends import RunEndLog
+from ..job import RunId
 from ..worker import Worker
 
 
@@ -52,8 +52,9 @@
     its calls and answers.  ``registered`` tells whether the directory lists
     the worker.  ``silence`` describes the calls without a report since the
     last one; ``unsettled`` counts the start orders whose answer is missing;
-    ``fastest`` is the shortest round-trip time, ms.  ``given_up`` are the
-    runs that were lost when its leases expired.
+    ``fastest`` is the shortest round-trip time, ms.  ``late_runs`` are the
+    runs that late orders to earlier processes may start there, with until when,
+    monotonic ms, before the worker was told to refuse them.
     """
 
     def __init__(self, worker: Worker, lease: Lease, now: int) -> None:
@@ -70,7 +71,7 @@
         self.fastest: int | None = None
         self.backoff_until = 0
         self.reserved_until = 0
-        self.given_up: tuple[Attempt, ...] = ()
+        self.late_runs: dict[RunId, int] = {}
         self.wakeup = trio.Event()
 
     @property
@@ -128,7 +129,7 @@
         """Return whether new runs may be started at this worker."""
         stays = self.registered and not self.closed and not self.worker.leaving
         free = now >= max(self.backoff_until, self.reserved_until)
-        answers = self.responsive and not self.unsettled
+        answers = self.responsive and not (self.unsettled or self.late_runs)
         ends_count = not (
             self.end_log.is_overdue(now) or self.end_log.may_be_dropped(now)
         )
@@ -144,6 +145,7 @@
             'not heard of yet': not self.has_reported,
             'silent': bool(self.misses),
             'unsettled': bool(self.unsettled),
+            'not told of late orders yet': bool(self.late_runs),
             'refusing': now < self.backoff_until,
         }
         found = (name for name, applies in obstacles.items() if applies)
--- a/tests/standins/worker_client.py
+++ b/tests/standins/worker_client.py
@@ -62,7 +62,8 @@
         if not self.workers.names_receivers:
             return await self._start(worker, execute)
         life = self.workers.life_of(worker)
-        execute = partial(_execute_at, life, execute)
+        if not self.workers.proxied:
+            execute = partial(_execute_at, life, execute)
         result = await self._start(worker, execute)
         if isinstance(result, Refused):
             return result
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -74,8 +74,9 @@
     orders are lost; for each value in ``late_order_delays``, one start order
     arrives that many ms late and gets no response.  If ``names_receivers`` is
     set, the result of a start order names the life that alone may carry it
-    out.  Workers stop a run in ``stop_ms``.  ``lives`` has the life
-    that is up at the address of each worker that was restarted.
+    out; if ``proxied`` is set as well, a proxy passes late orders on to the
+    life that is up then.  Workers stop a run in ``stop_ms``.  ``lives`` has the
+    life that is up at the address of each worker that was restarted.
     """
 
     def __init__(self) -> None:
@@ -92,6 +93,7 @@
         self.lose_answers = 0
         self.late_order_delays: list[int] = []
         self.names_receivers = False
+        self.proxied = False
         self.stop_ms = STOP_MS
 
     def add(self, worker: Worker) -> SimWorker:
