Widen the choice of a probe with time

Cause: an ejected worker came back by a probe alone, and no task that lasts, no gang, none that had failed before and no suspect of a crash could be one.

Such tasks may be the probe now, one at a time, where no other worker has room for them: tasks that last from 5 s after the last failure, those with an attempt to spare 1 s after a probe was due, any task 6 s after. A probe at work is proved without its end. A suspected worker that fails its runs accepts lasting tasks 3 s after the last evidence; so far it did after 10 s, beyond what the rule allows. A fault that goes on costs such tasks one start each 5 s and worker.

test_failed_probe_doubles_the_delay expected no rank at all until a probe is due. It expects just the rank "lasting" there now, from 5 s on, and the same delays as before.

--- a/cyclamenshift/decisions/candidates.py
+++ b/cyclamenshift/decisions/candidates.py
@@ -21,13 +21,24 @@
 
 #: The free resources of a worker that gets no other task.
 NOTHING_FREE: Final = Resources(-1, -1, -1)
+#: The ranks of workers that accept any number of tasks.
+SHARED_RANKS: Final = frozenset((Rank.healthy, Rank.suspected))
+#: The ranks of ejected workers that get a probe.
+PROBE_RANKS: Final = frozenset((Rank.probe, Rank.late_probe, Rank.last_probe))
+#: The ranks of suspected workers that get one run at a time.
+TRIAL_RANKS: Final = frozenset((Rank.trial, Rank.late_trial))
+#: The single ranks that accept lasting tasks.
+LASTING_RANKS: Final = frozenset(
+    (Rank.late_probe, Rank.late_trial, Rank.lasting)
+)
 
 
 class Candidate:
     """
     A worker that accepts tasks, with its free resources.
 
-    A ``single`` one accepts one task at a time, because of its health.
+    A ``single`` one accepts one task at a time, because of its health, but a
+    gang goes as a whole.
     """
 
     def __init__(
@@ -37,19 +48,38 @@
         self.worker = worker
         self.free = free
         self.rank = rank
-        self.single = rank in {Rank.probe, Rank.trial}
+        self.single = rank not in SHARED_RANKS
         #: Kept, because it is read for each task that is placed.
         self.instance: WorkerInstance = worker.instance
 
     def accepts(self, task: Task) -> bool:
         """Return whether a single candidate may get *task*."""
+        if self.is_usual(task) or self.rank is Rank.last_probe:
+            return True
+        if task.step.gang or task.possible_crashes.in_a_row:
+            return False
+        if task.step.long_running:
+            return self.rank in LASTING_RANKS
+        return self.rank is Rank.late_probe and _spares_attempts(task)
+
+    def is_usual(self, task: Task) -> bool:
+        """Return whether *task* loses little if a single candidate fails it."""
         step = task.step
         if step.gang or step.long_running or task.possible_crashes.in_a_row:
             return False
-        if self.rank is Rank.probe:
+        if self.rank in PROBE_RANKS:
             # It has all its attempts left.
             return not task.failures
-        return self.instance not in task.failed_at
+        return self.rank in TRIAL_RANKS and self.instance not in task.failed_at
+
+    def is_last_resort(self, task: Task) -> bool:
+        """Return whether *task* should rather run at any other candidate."""
+        return self.single and not self.is_usual(task)
+
+
+def _spares_attempts(task: Task) -> bool:
+    """Return whether *task* has an attempt left after a failure."""
+    return task.failures + 1 < task.job.queue.attempts
 
 
 class Placement(NamedTuple):
@@ -63,6 +93,7 @@
 class ScoredCandidate(NamedTuple):
     """The sort key of a candidate for one task; the lowest is chosen."""
 
+    last_resort: bool
     other_rack: bool
     failed_there: bool
     rank: Rank
@@ -76,7 +107,7 @@
     """Place *task* at *candidate*."""
     candidate.free = (
         NOTHING_FREE
-        if candidate.single
+        if candidate.single and not task.step.gang
         else candidate.free.minus(reserved_resources(task.step))
     )
     return Placement(task, candidate.instance, number)
@@ -95,6 +126,7 @@
     occupied = {attempt.instance for attempt in task.attempts.values()}
     ranked = [
         ScoredCandidate(
+            candidate.is_last_resort(task),
             _in_other_rack(task, candidate.worker),
             candidate.instance in task.failed_at,
             candidate.rank,
--- a/cyclamenshift/decisions/overload/worker_health.py
+++ b/cyclamenshift/decisions/overload/worker_health.py
@@ -28,11 +28,14 @@
 from .step_records import RunTime, StepRecord, StepRecords
 from .time_comparison import TimeComparison
 from .worker_states import (
+    LATE_TRIAL_MS,
     MAX_PROBE_DELAY_MS,
     HealthState,
     Rank,
     WorkerRecord,
+    is_at_work,
     judge,
+    rank_of_probe,
 )
 
 #: How often the running runs are looked at, ms: as often as workers report.
@@ -81,11 +84,14 @@
         """
         Return the rank of a worker at *now* that has these *attempts*.
 
-        A suspect without new evidence is readmitted.
+        A suspect without new evidence is readmitted, and an ejected one whose
+        probe is at work.
         """
         worker = self.workers.get(instance)
         if worker and worker.is_cleared(now):
             self.readmit(worker, 'no new evidence', now)
+        elif worker and worker.probe and worker.probe in attempts:
+            self._check_probe(worker, attempts[worker.probe], now)
         return self.peek_rank(instance, now, attempts)
 
     def peek_rank(
@@ -99,19 +105,19 @@
         if worker is None or worker.state is HealthState.healthy:
             return Rank.healthy
         if worker.ejected:
-            is_probed = worker.probe in attempts
-            waits = is_probed or now < worker.until
-            return Rank.unavailable if waits else Rank.probe
+            return _rank_ejected(worker, attempts, now)
         if worker.is_cleared(now):
             return Rank.healthy
-        return self._rank_suspect(worker, attempts.values())
+        return self._rank_suspect(worker, attempts.values(), now)
 
     def record_start(
         self, instance: WorkerInstance, run: RunId, now: int
     ) -> None:
         """Take note of a run that is started, which may be a probe."""
         worker = self.workers.get(instance)
-        if worker and worker.ejected and now >= worker.until:
+        if worker is None or not worker.ejected:
+            return
+        if worker.failing or now >= worker.until:
             worker.probe = run
             self.change(worker, HealthState.probed, 'delay is over')
 
@@ -135,7 +141,7 @@
             self._end_probe(worker, run, now, is_slow=is_slow)
 
     def _rank_suspect(
-        self, worker: WorkerRecord, attempts: Iterable[Attempt]
+        self, worker: WorkerRecord, attempts: Iterable[Attempt], now: int
     ) -> Rank:
         """Limit the runs at a worker that fails, unless many seem to."""
         unhealthy = sum(
@@ -144,8 +150,34 @@
         )
         if not worker.failing or unhealthy > self.quota:
             return Rank.suspected
-        is_busy = any(not each.task.step.long_running for each in attempts)
-        return Rank.unavailable if is_busy else Rank.trial
+        is_busy = any(
+            not each.task.step.long_running or not is_at_work(each)
+            for each in attempts
+        )
+        if is_busy:
+            return Rank.unavailable
+        evidence_age = now - (worker.until - SUSPICION_MS)
+        is_late = evidence_age >= LATE_TRIAL_MS
+        return Rank.late_trial if is_late else Rank.trial
+
+    def _check_probe(
+        self, worker: WorkerRecord, attempt: Attempt, now: int
+    ) -> None:
+        """
+        Readmit an ejected worker whose probe is at work.
+
+        That tells nothing of the run times of a slow one, which stays
+        suspected if the probe has no run time to compare.
+        """
+        lasting = attempt.task.step.long_running
+        if not is_at_work(attempt):
+            return
+        if worker.failing:
+            self.readmit(worker, 'probe at work', now)
+        elif lasting:
+            worker.probe = None
+            worker.until = now + SUSPICION_MS
+            self.change(worker, HealthState.suspected, 'probe at work')
 
     def _record_failure(
         self, worker: WorkerRecord, failure: Failure, now: int
@@ -274,3 +306,14 @@
             run.task.step.estimate,
         )
         return sample is not None and sample.excess >= SUSPECT_SLOWDOWN
+
+
+def _rank_ejected(
+    worker: WorkerRecord, attempts: Mapping[RunId, Attempt], now: int
+) -> Rank:
+    """Return the rank of an ejected worker that has these *attempts*."""
+    if worker.probe in attempts:
+        return Rank.unavailable
+    if now >= worker.until:
+        return rank_of_probe(now - worker.until)
+    return Rank.lasting if now >= worker.lasting_from else Rank.unavailable
--- a/cyclamenshift/decisions/overload/worker_states.py
+++ b/cyclamenshift/decisions/overload/worker_states.py
@@ -10,7 +10,7 @@
 from typing import Final, NamedTuple
 
 from ...job import RunId
-from ..progress import WorkerInstance
+from ..progress import Attempt, WorkerInstance
 from ..reports import EndedRun
 from .failures import Evidence, RecentEnds
 from .slowness import SUSPECT_SLOWDOWN, Slowness
@@ -26,19 +26,41 @@
 #: attempt of a task, and faults last some seconds.
 PROBE_DELAY_MS: Final = 2_000
 MAX_PROBE_DELAY_MS: Final = 8_000
+#: How long after a failure an ejected worker accepts lasting tasks, ms.  One
+#: that no other worker may run has to be at work 6 s after its last run.
+LASTING_DELAY_MS: Final = 5_000
+#: For how long a probe has to be due until lasting tasks, and those that have
+#: failed but have attempts to spare, may be one, ms.
+LATE_PROBE_MS: Final = 1_000
+#: For how long it has to be due until any task may be one, ms.
+LAST_PROBE_MS: Final = 6_000
+#: How long after the last evidence a worker on trial accepts lasting tasks, ms.
+LATE_TRIAL_MS: Final = 3_000
+#: How long a run has to be seen at work to prove that its worker does not fail
+#: what it starts, ms.  For lasting tasks it is less than a report may be held.
+LASTING_PROOF_MS: Final = 900
+PROOF_MS: Final = 3_000
 
 
 class Rank(enum.IntEnum):
     """How a worker is preferred by placement; the lowest goes first."""
 
+    #: As ``late_probe``, for so long that any task may be the probe.
+    last_probe = -2
+    #: As ``probe``, but no task has come that can spare an attempt.
+    late_probe = -1
     #: It is ejected, and gets one run that decides about its return.
     probe = 0
     healthy = 1
     suspected = 2
     #: It is suspected to fail all runs, and gets one at a time.
     trial = 3
+    #: The same, without new evidence for a while.
+    late_trial = 4
+    #: It is ejected and gets no probe yet, but lasting tasks.
+    lasting = 5
     #: It gets no run now.
-    unavailable = 4
+    unavailable = 6
 
 
 class HealthState(enum.StrEnum):
@@ -88,6 +110,12 @@
         """Whether it gets no run but a probe."""
         return self.state in {HealthState.ejected, HealthState.probed}
 
+    @property
+    def lasting_from(self) -> int:
+        """Since when it accepts lasting tasks while it is ejected, ms."""
+        ejected_at = self.until - self.delay
+        return ejected_at + LASTING_DELAY_MS if self.failing else ejected_at
+
     @property
     def suspected_slow(self) -> bool:
         """Whether its run times are the reason why it is suspected."""
@@ -112,6 +140,20 @@
         self.delay = PROBE_DELAY_MS
 
 
+def rank_of_probe(overdue: int) -> Rank:
+    """Return the rank of a worker whose probe has been due for so long, ms."""
+    if overdue >= LAST_PROBE_MS:
+        return Rank.last_probe
+    return Rank.late_probe if overdue >= LATE_PROBE_MS else Rank.probe
+
+
+def is_at_work(attempt: Attempt) -> bool:
+    """Return whether a run proves that its worker can run what it starts."""
+    lasting = attempt.task.step.long_running
+    proof = LASTING_PROOF_MS if lasting else PROOF_MS
+    return attempt.seen_for >= proof
+
+
 def judge(evidence: Evidence, slowdown: float) -> HealthState:
     """
     Return the state that a worker should have.
--- a/cyclamenshift/scheduling/explainer.py
+++ b/cyclamenshift/scheduling/explainer.py
@@ -202,7 +202,7 @@
         instance = session.worker.instance
         attempts = self.tracker.attempts_by_worker.get(instance, {})
         rank = self.state.health.peek_rank(instance, attempts)
-        if rank is not Rank.unavailable:
+        if rank not in {Rank.unavailable, Rank.lasting}:
             return 'usable'
         is_ejected = self.state.health.is_ejected(instance)
         return 'ejected' if is_ejected else 'busy with a trial'
--- a/cyclamenshift/scheduling/suspects.py
+++ b/cyclamenshift/scheduling/suspects.py
@@ -14,10 +14,12 @@
 from ..decisions.demands import Demand, demand_of
 from ..decisions.isolation import (
     MAX_ISOLATION_WAIT_MS,
+    IsolationChoice,
     IsolationWaits,
     Occupancy,
     choose_worker,
 )
+from ..decisions.overload.worker_states import Rank
 from ..decisions.placement import PlacementRules, place
 from ..decisions.progress import Attempt, Task, WorkerInstance
 from ..decisions.tracker import reserved_resources
@@ -159,12 +161,10 @@
         self, task: Task, candidates: dict[WorkerInstance, Candidate]
     ) -> bool:
         """Place *task* or hold a worker for it; return whether it may start."""
-        occupancies = self._occupancies(task, candidates.values())
-        choice = choose_worker(
-            task.possible_crashes,
-            self.waits.waited(task, self.now),
-            occupancies,
-        )
+        shared = [each for each in candidates.values() if not each.single]
+        choice = self._choose(task, shared)
+        if choice is None and len(shared) < len(candidates):
+            choice = self._choose(task, candidates.values())
         if choice is None:
             return False
         instance = choice.instance
@@ -180,6 +180,15 @@
         self._note_shared_placement(task, instance)
         return True
 
+    def _choose(
+        self, task: Task, candidates: Iterable[Candidate]
+    ) -> IsolationChoice | None:
+        return choose_worker(
+            task.possible_crashes,
+            self.waits.waited(task, self.now),
+            self._occupancies(task, candidates),
+        )
+
     def _occupancies(
         self, task: Task, candidates: Iterable[Candidate]
     ) -> list[Occupancy]:
@@ -273,7 +282,7 @@
     single = {
         instance: candidate
         for instance, candidate in candidates.items()
-        if candidate.single
+        if candidate.single and candidate.rank is not Rank.last_probe
     }
     for instance in single:
         candidates.pop(instance)
