--- a/tests/standins/soak_scripts.py
+++ b/tests/standins/soak_scripts.py
@@ -38,6 +38,7 @@
     draw_restart_and_cut,
     draw_submission_time,
 )
+from .refusals import RefuseConnections, draw_refusal
 from .soak_events import (
     AgeLists,
     CloseConnections,
@@ -78,6 +79,8 @@
 #: The limits of the account, millicores; 0 is none.  Each lets its jobs end in
 #: time.
 LIMITS: Final = (8_000, 16_000, 0)
+#: How late an order may be, ms.
+LATE_RANGE_MS: Final = (2_000, 12_000)
 #: The time after the end of all faults in which all jobs must complete, and
 #: all runs end, s.
 COMPLETION_TIMEOUT_S: Final = 120
@@ -163,6 +166,8 @@
     'entries': _change_entries,
     'store': _fail_store,
     'workers': _change_workers,
+    'refusals': draw_refusal,
+    'late': lambda rng: DelayOrders(rng.randint(*LATE_RANGE_MS)),
 }
 
 
@@ -176,6 +181,7 @@
         self.elapsed = 0
         self.next_restart = 0
         self.cut_ends: list[int] = []
+        self.recuts = 0
         self.max_recuts = MAX_RECUTS if len(kinds) == 1 else 1
         #: Draws what concerns accounts, so that the script of a seed without
         #: that stays the same.
@@ -211,6 +217,8 @@
         event = KINDS.get(kind, _submit)(rng)
         if isinstance(event, RestartAndCut):
             return self._draw_recut(pause, event)
+        if isinstance(event, RefuseConnections):
+            self.cut_ends.append(self.elapsed + event.cut_ms)
         if isinstance(event, RestartWorker):
             if self._restart_wait() or self._in_cut():
                 event = _submit(rng)
@@ -222,13 +230,14 @@
         self, pause: int, event: RestartAndCut
     ) -> Iterable[tuple[int, Any]]:
         """Wait until *event* may come, and submit a job around the cut."""
-        if len(self.cut_ends) == self.max_recuts:
+        if self.recuts == self.max_recuts:
             self.elapsed -= pause
             return ()
         while self._restart_wait():
             wait = self._restart_wait()
             pause += wait
             self.elapsed += wait
+        self.recuts += 1
         self.cut_ends.append(self.elapsed + event.cut_at + event.cut_ms)
         last_restart = self.elapsed + event.restarts[-1].at
         self.next_restart = last_restart + RESTART_INTERVAL_MS
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -11,7 +11,11 @@
 
 from cyclamenshift.decisions.accounts.allotments import StartBudget
 from cyclamenshift.decisions.candidates import Candidate
-from cyclamenshift.decisions.crashes import Crashes
+from cyclamenshift.decisions.crashes import (
+    MIN_CRASHES,
+    Crashes,
+    KnownAge,
+)
 from cyclamenshift.decisions.explanation import (
     AccountRoom,
     NextPass,
@@ -22,6 +26,7 @@
 from cyclamenshift.decisions.overload.worker_states import Rank
 from cyclamenshift.decisions.placement import PlacementRules
 from cyclamenshift.decisions.progress import Task
+from cyclamenshift.decisions.suspected_crashes import SuspectedCrash
 from cyclamenshift.decisions.urgency import Ranking, Timeliness
 from cyclamenshift.job import NO_RESOURCES, Resources, Step
 from .builders import WALL_START, tasks_of, step, worker
@@ -98,6 +103,17 @@
     assert reason_of(explained, *fresh) is expected
 
 
+def test_task_on_hold_waits_for_proof() -> None:
+    """It looked as if no worker had room for it."""
+    (task,) = tasks_of(step(tasks=1))
+    task.suspected_crashes = {
+        (f'w{number}', 1): SuspectedCrash(KnownAge(0), alone=True)
+        for number in range(MIN_CRASHES)
+    }
+    coming = next_pass([], candidate())
+    assert find_placement([task], coming).reason is WaitReason.crashes
+
+
 def test_reasons_of_the_pass() -> None:
     """A pass that did not take place, or stopped early, looked like no room."""
     assert reason_of(step(), candidate(), free=0) is WaitReason.order_window
