--- a/cyclamenshift/decisions/crash_ledger.py
+++ b/cyclamenshift/decisions/crash_ledger.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from .crashes import MAX_CAUSE_AGE_MS, Crashes, RunAge
+from .crashes import MAX_CAUSE_AGE_MS, RunAge
 from .progress import Attempt, JobProgress, Task, WorkerInstance
 from .suspected_crashes import SuspectedCrash
 from .tracker import UNANSWERED_PHASES, JobTracker
@@ -63,17 +63,13 @@
         """
         Record and return the tasks that may have crashed a worker.
 
-        A run that was too old to be the cause clears the count of its task,
-        whether or not the worker has crashed.
+        Those whose runs were too old to be the cause are left out.
         """
-        weighed_crashes = _weigh(lost, crash)
         suspected = {
             task: weighed
-            for task, weighed in weighed_crashes.items()
+            for task, weighed in _weigh(lost, crash).items()
             if not _is_over(task) and weighed.age.ms <= MAX_CAUSE_AGE_MS
         }
-        for outlived in weighed_crashes.keys() - suspected.keys():
-            outlived.crashes = Crashes()
         for task, weighed in suspected.items():
             task.suspected_crashes[instance] = weighed
             self.suspects.setdefault(instance, set()).add(task)
@@ -92,11 +88,6 @@
         """Drop a suspected crash; return the tasks that had it."""
         return list(self._remove(instance))
 
-    def exonerate(self, task: Task, instance: WorkerInstance) -> None:
-        """Drop a suspected crash for one of its tasks."""
-        if task.suspected_crashes.pop(instance, None):
-            self.tracker.mark_dirty(task.job)
-
     def _remove(self, instance: WorkerInstance) -> dict[Task, SuspectedCrash]:
         removed = {
             task: task.suspected_crashes.pop(instance)
--- a/cyclamenshift/scheduling/crash_recorder.py
+++ b/cyclamenshift/scheduling/crash_recorder.py
@@ -9,18 +9,13 @@
 that the worker has ended, or its own report that it has not.
 """
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from typing import Final, NamedTuple
 
 from ..clock import Clock
 from ..decisions.crash_ledger import CrashLedger, WorkerCrash
-from ..decisions.crashes import MAX_CAUSE_AGE_MS, SETTLED_MS
+from ..decisions.crashes import SETTLED_MS
 from ..decisions.progress import Attempt, Task, WorkerInstance
-from ..decisions.rack_losses import (
-    WorkerEnd,
-    ends_with_rack,
-    is_cause_elsewhere,
-)
 from ..decisions.tracker import JobTracker
 from ..logs import StructuredLogger
 from ..worker import Worker
@@ -33,18 +28,6 @@
 REGISTRATION_MS: Final = 5_000
 
 
-#: How long a proved crash is not counted, ms, while other workers of the rack
-#: may turn out to have ended with it: as long as it takes to find them silent.
-RACK_LOSS_MS: Final = 2_000
-
-
-class ProvedCrash(NamedTuple):
-    """A crash that counts at ``due``, monotonic ms, if no rack was lost."""
-
-    end: WorkerEnd
-    due: int
-
-
 class RegistrationSpan(NamedTuple):
     """Since when a worker is ``registered``, or is not, monotonic ms."""
 
@@ -57,8 +40,6 @@
     Records the crashes of workers, and settles those that are suspected.
 
     ``spans`` has the registrations of the workers whose crash is suspected,
-    ``proved`` the crashes that are proved but not counted yet, ``ends`` how
-    workers have ended lately, and
     ``silent`` the runs that were lost at workers that did not answer: these may
     be cut off, so that nothing is suspected before another process answers.
     """
@@ -72,25 +53,24 @@
         self.ledger = CrashLedger(tracker)
         self.spans: dict[WorkerInstance, RegistrationSpan] = {}
         self.silent: dict[WorkerInstance, list[Attempt]] = {}
-        self.proved: dict[WorkerInstance, ProvedCrash] = {}
-        self.ends: list[WorkerEnd] = []
 
     def is_suspected(self, instance: WorkerInstance) -> bool:
         """Return whether a crash of a worker is neither proved nor not."""
         return instance in self.ledger.suspects
 
     def record(self, session: WorkerSession, lost: Iterable[Attempt]) -> None:
-        """Record the proved crash of a worker, unless it was to leave."""
+        """Count the proved crash of a worker, unless it was to leave."""
         worker = session.worker
         lost = (*self.silent.pop(worker.instance, ()), *lost)
         now = self.clock.now()
         if session.leaves_as_planned(now):
             self.dismiss(worker)
             return
-        end = self._end_of(session, lost, now)
-        self.ends.append(end)
-        self.ledger.suspect(worker.instance, lost, self._crash_of(session, now))
-        self.proved[worker.instance] = ProvedCrash(end, now + RACK_LOSS_MS)
+        self._confirm(worker.instance, 'another process')
+        wall_time = self.clock.wall_time()
+        crash = self._crash_of(session, now)
+        given_up = self.ledger.record(lost, crash, wall_time)
+        self._log_given_up(worker.worker_id, given_up)
 
     def record_earlier(
         self, instance: WorkerInstance, lost: Iterable[Attempt]
@@ -119,32 +99,16 @@
 
     def confirm_before(self, worker: Worker) -> None:
         """Count the suspected crashes of earlier workers of the same id."""
-        for instance in self.ledger.suspects.keys() - self.proved.keys():
+        for instance in tuple(self.ledger.suspects):
             worker_id, started_at = instance
             if worker_id == worker.worker_id and started_at < worker.started_at:
                 self._confirm(instance, 'another process')
 
-    def settle_proved(self, sessions: Collection[WorkerSession]) -> None:
-        """Count the proved crashes that are due, but for losses of racks."""
-        now = self.clock.now()
-        self.ends = [
-            end for end in self.ends if now - end.silent_at <= 2 * RACK_LOSS_MS
-        ]
-        due = [each.end for each in self.proved.values() if each.due <= now]
-        gone = _find_gone(sessions) if due else []
-        ends = [self._end_of(session, (), now) for session in gone]
-        for end in due:
-            self.proved.pop(end.instance)
-            alive = _racks_alive(sessions, gone, end.silent_at)
-            others = (*self.ends, *ends)
-            self._exonerate(end, ends_with_rack(end, others, alive))
-            self._confirm(end.instance, 'another process')
-
     def settle(self, registered: Iterable[WorkerInstance]) -> None:
         """Settle suspected crashes by the current registrations."""
         now = self.clock.now()
         listed = set(registered)
-        suspects = tuple(self.ledger.suspects.keys() - self.proved.keys())
+        suspects = tuple(self.ledger.suspects)
         self.spans = {
             instance: self._span_of(instance, instance in listed, now)
             for instance in suspects
@@ -179,44 +143,6 @@
                 on_hold=[task.task_id for task in suspects if task.on_hold],
             )
 
-    def _end_of(
-        self, session: WorkerSession, lost: Iterable[Attempt], now: int
-    ) -> WorkerEnd:
-        """Return when a worker ended, with the jobs that may have done it."""
-        instance = session.worker.instance
-        tracked = self.ledger.tracker.attempts_at(instance)
-        runs = (*lost, *tracked, *self.silent.get(instance, ()))
-        alive_at = session.alive_at(now)
-        silent_at = session.silent_since(now)
-        heard_at = session.lease.heard_at
-        return WorkerEnd(
-            instance,
-            session.worker.rack,
-            silent_at if heard_at is None else heard_at,
-            silent_at,
-            frozenset(
-                each.task.task_id.job_id
-                for each in runs
-                if each.age(alive_at).ms <= MAX_CAUSE_AGE_MS
-            ),
-        )
-
-    def _exonerate(self, end: WorkerEnd, together: list[WorkerEnd]) -> None:
-        """Clear the tasks that have not caused the loss of a rack."""
-        tasks = [
-            task
-            for task in self.ledger.suspects.get(end.instance, ())
-            if is_cause_elsewhere(task.task_id.job_id, together)
-        ]
-        for task in tasks:
-            self.ledger.exonerate(task, end.instance)
-        self._log_settled(
-            'Suspected crash dismissed.',
-            end.instance,
-            tasks,
-            'its rack was lost',
-        )
-
     def _span_of(
         self, instance: WorkerInstance, registered: bool, now: int
     ) -> RegistrationSpan:
@@ -236,11 +162,7 @@
     def _confirm(self, instance: WorkerInstance, reason: str) -> None:
         if not self.is_suspected(instance):
             return
-        suspects = [
-            task
-            for task in self.ledger.suspects[instance]
-            if instance in task.suspected_crashes
-        ]
+        suspects = list(self.ledger.suspects[instance])
         given_up = self.ledger.confirm(instance, self.clock.wall_time())
         self._log_settled('Suspected crash proved.', instance, suspects, reason)
         self._log_given_up(instance[0], given_up)
@@ -271,35 +193,3 @@
                 age_ms=task.crashes.age,
                 uncertain=task.crashes.uncertain,
             )
-
-
-def _find_gone(sessions: Iterable[WorkerSession]) -> list[WorkerSession]:
-    """Return the sessions that are silent, or whose VM has a new worker."""
-    is_open = [session for session in sessions if not session.closed]
-    started: dict[str, int] = {}
-    for each in is_open:
-        worker = each.worker
-        latest = started.get(worker.vm_id, 0)
-        started[worker.vm_id] = max(latest, worker.started_at)
-    return [
-        session
-        for session in is_open
-        if session.silence
-        or session.worker.started_at < started[session.worker.vm_id]
-    ]
-
-
-def _racks_alive(
-    sessions: Iterable[WorkerSession],
-    gone: Collection[WorkerSession],
-    since: int,
-) -> set[str]:
-    """Return the racks of the workers that were up before and after *since*."""
-    return {
-        session.worker.rack
-        for session in sessions
-        if session.opened_at < since
-        and not session.closed
-        and session not in gone
-        and session.lease.heard_since(since)
-    }
--- a/cyclamenshift/scheduling/service.py
+++ b/cyclamenshift/scheduling/service.py
@@ -237,9 +237,6 @@
     def _settle_crashes(self) -> None:
         """Settle the suspected crashes by the registrations."""
         crashes = self.state.crashes
-        if crashes.proved:
-            crashes.settle_proved(self.state.sessions.values())
-            self.state.recorder.notify()
         if not crashes.ledger.suspects:
             return
         if self.state.knows_workers:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -29,7 +29,6 @@
 from cyclamenshift.decisions.lending import PoolView
 from cyclamenshift.decisions.merging import Document
 from cyclamenshift.decisions.progress import JobProgress, Task
-from cyclamenshift.decisions.rack_losses import WorkerEnd
 from cyclamenshift.decisions.reports import EndedRun
 from cyclamenshift.directory import Account, Catalog, Queue, Service
 from cyclamenshift.fleetmessages import PoolReport
@@ -224,19 +223,6 @@
     return Worker(**(values | overrides))
 
 
-def worker_end(worker_id: str = 'worker-1', **overrides: Any) -> WorkerEnd:
-    """Return the end of a worker without runs, found within 500 ms."""
-    heard_at = overrides.get('heard_at', 0)
-    values: dict[str, Any] = {
-        'instance': (worker_id, 1),
-        'rack': 'rack-1',
-        'heard_at': heard_at,
-        'silent_at': heard_at + 500,
-        'jobs': frozenset(),
-    }
-    return WorkerEnd(**(values | overrides))
-
-
 def report(**overrides: Any) -> WorkerReport:
     """Return the report of an idle worker."""
     values: dict[str, Any] = {
